--- /dev/null
+++ b/internal/simwire/settings.go
@@ -0,0 +1,205 @@
+package simwire
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+
+	"birchfork/rules"
+)
+
+// pairs are the settings of one POWER_ON line. Unknown keys stay unread.
+type pairs struct {
+	m   map[string]string
+	err error
+}
+
+func parsePairs(rest []byte) (*pairs, error) {
+	p := &pairs{m: map[string]string{}}
+	for _, kv := range bytes.Split(rest, []byte{'\t'}) {
+		if len(kv) == 0 || absent(kv) {
+			continue
+		}
+		i := bytes.IndexByte(kv, '=')
+		if i <= 0 {
+			return nil, fmt.Errorf("setting %q is not path=value", kv)
+		}
+		p.m[string(kv[:i])] = string(kv[i+1:])
+	}
+	return p, nil
+}
+
+func (p *pairs) fail(key, want string) {
+	if p.err == nil {
+		p.err = fmt.Errorf("setting %s: %q is not %s", key, p.m[key], want)
+	}
+}
+
+func (p *pairs) text(key, def string) string {
+	if v, ok := p.m[key]; ok && v != "-" {
+		return v
+	}
+	return def
+}
+
+func (p *pairs) number(key string, def float64) float64 {
+	v := p.text(key, "")
+	if v == "" {
+		return def
+	}
+	neg := v[0] == '-'
+	if neg {
+		v = v[1:]
+	}
+	n, ok := parseNumber([]byte(v))
+	if !ok || n > maxSeconds {
+		p.fail(key, "a number")
+	}
+	if neg {
+		n = -n
+	}
+	return n
+}
+
+func (p *pairs) time(key string, def rules.Time) rules.Time {
+	return seconds(p.number(key, float64(def)/float64(rules.Second)))
+}
+
+func (p *pairs) whole(key string, def int) int {
+	v := p.text(key, "")
+	if v == "" {
+		return def
+	}
+	n, err := strconv.Atoi(v)
+	if err != nil || n > 1e9 || n < -1e9 {
+		p.fail(key, "a whole number")
+	}
+	return n
+}
+
+func (p *pairs) flag(key string, def bool) bool {
+	switch v := p.text(key, ""); v {
+	case "":
+		return def
+	case "true", "1":
+		return true
+	case "false", "0":
+		return false
+	default:
+		p.fail(key, "true or false")
+		return def
+	}
+}
+
+func (p *pairs) choice(key, def string, all ...string) int {
+	v := p.text(key, def)
+	for i, a := range all {
+		if v == a {
+			return i
+		}
+	}
+	p.fail(key, fmt.Sprintf("one of %v", all))
+	return 0
+}
+
+// list splits a comma list; an absent or empty one has no items.
+func (p *pairs) list(key string) []string {
+	v := p.text(key, "")
+	if v == "" {
+		return nil
+	}
+	var out []string
+	for _, s := range bytes.Split([]byte(v), []byte{','}) {
+		out = append(out, string(s))
+	}
+	return out
+}
+
+func intern(m map[string]int, names []string) {
+	for i, s := range names {
+		m[s] = i
+	}
+}
+
+// maxList bounds the lists in settings, so that a wrong count cannot take all memory.
+const maxList = 10000
+
+func (p *pairs) count(key string) int {
+	n := p.whole(key, 0)
+	if n < 0 || n > maxList {
+		p.fail(key, fmt.Sprintf("a count from 0 to %d", maxList))
+		return 0
+	}
+	return n
+}
+
+// settings reads one instance's settings and interns their names.
+func settings(p *pairs, n *Names) (rules.Settings, error) {
+	zones, kinds := p.list("zones"), p.list("machine_types")
+	intern(n.zones, zones)
+	intern(n.kinds, kinds)
+	s := rules.Settings{
+		OverShareWorth: p.number("over_share_worth", 1),
+		Zones:          len(zones),
+		Kinds:          len(kinds),
+		Zone:           -1,
+		GroupSize:      p.whole("group_size", 1),
+		Tick:           p.time("tick", rules.Millisecond),
+		MaxAttempts:    p.whole("policy_limits.attempts_cap", 1),
+		CanCancel:      p.flag("policy_limits.cancel", false),
+		CanProbe:       p.flag("policy_limits.probes", false),
+		SecondCopies:   p.flag("policy_limits.second_copies", false),
+		RetryAfter:     p.flag("policy_limits.retry_after", false),
+		MaxRetryAfter:  p.time("policy_limits.max_retry_after", 0),
+		ConnectTimeout: p.time("policy_limits.connect_timeout", 0),
+		ListOnRequest:  p.choice("registry_mode", "automatic", "automatic", "subscribe") == 1,
+		TellsStart:     p.flag("extra.tells_start", false),
+		Progress:       p.time("extra.progress", 0),
+		AskWithin:      p.time("safety.ask_within", 10*rules.Second),
+		DrainGrace:     p.time("safety.stop_sending_within", 0),
+		ColdFrom:       p.number("safety.cold_from", 1),
+		WarmWithin:     p.time("safety.warm_within", 0),
+		FallMultiple:   p.number("safety.fall_multiple", 1),
+		FallWindow:     p.time("safety.fall", 0),
+		PriceWaste:     p.number("prices.waste", 0),
+		PriceLateFail:  p.number("prices.late_fail", 0),
+	}
+	if z, ok := n.zones[p.text("zone", "")]; ok {
+		s.Zone = z
+	}
+	stretch, kind := p.list("extra.class_stretch"), p.list("extra.class_kind")
+	for i := range p.count("classes.count") {
+		at := "classes." + strconv.Itoa(i) + "."
+		c := rules.Class{
+			Aim:       p.time(at+"aim", 0),
+			Stretch:   p.number(at+"aim_stretch", p.item("extra.class_stretch", stretch, i, 0)),
+			Deadline:  p.time(at+"deadline", 0),
+			Worth:     p.number(at+"worth", 1),
+			LateWorth: p.number(at+"late_worth", 0),
+			Effect:    rules.Effect(p.choice(at+"effect", "single_shot", "free", "guarded", "single_shot")),
+			Group:     rules.Group(p.choice(at+"group", "cell", "all", "zone", "cell")),
+			Window:    p.time(at+"window", 0),
+			Kind:      int(p.item("extra.class_kind", kind, i, -1)),
+		}
+		n.classes[p.text(at+"name", strconv.Itoa(i))] = i
+		s.Classes = append(s.Classes, c)
+	}
+	for i := range p.count("customers.count") {
+		at := "customers." + strconv.Itoa(i) + "."
+		n.tenants[p.text(at+"name", strconv.Itoa(i))] = i
+		s.Tenants = append(s.Tenants, rules.Tenant{Quota: p.number(at+"quota_rps", 0)})
+	}
+	return s, p.err
+}
+
+// item reads a number from a plain list that may be shorter than the classes.
+func (p *pairs) item(key string, list []string, i int, def float64) float64 {
+	if i >= len(list) {
+		return def
+	}
+	v, err := strconv.ParseFloat(list[i], 64)
+	if err != nil || v != v || v > maxSeconds || v < -maxSeconds {
+		p.fail(key, "a list of numbers")
+	}
+	return v
+}
