--- a/rules/rules.go
+++ b/rules/rules.go
@@ -4,10 +4,7 @@
 // decisions are as they are, and when each exception to the design acts, in docs/design.md.
 
 import (
-	"errors"
-	"fmt"
 	"math"
-	"math/rand/v2"
 )
 
 // Constants: value, unit, reason. docs/design.md tells how sensitive results are to each.
@@ -32,127 +29,8 @@
 	watchRetry  = 200 * Millisecond // first wait before a lost list is asked for again; doubles
 	crossWait   = 2 * Second        // wait in the own zone, times the price of a crossing
 	listSilence = 3                 // asks per AskWithin at the least while the list is out of reach
-	never       = Time(math.MaxInt64 / 4)
 )
 
-const (
-	onTime = iota // can still earn its full worth
-	behind        // late, or beyond its tenant's share: waits behind all of the above
-	bands
-)
-
-type attempt struct {
-	w         *worker
-	sentAt    Time
-	startedAt Time // 0: not started
-	noteAt    Time // of the last sign of progress
-	out       bool
-	neverRan  bool
-	queued    bool // has told of a queue at the worker
-	stalled   bool
-}
-
-type job struct {
-	id       RequestID
-	class    *classState
-	tenant   int
-	need     float64 // slots, or memory units if that is more
-	work     Time    // expected, on a standard core
-	landed   Time
-	end      Time // the last moment for an answer
-	aimAt    Time
-	open     bool // owes its final answer
-	band     int
-	ticket   uint64 // of its entries in held lists; 0: not held
-	heldAt   Time
-	timer    uint64 // of its live entry among the timers
-	attempts []attempt
-}
-
-type classState struct {
-	Class
-	run float64 // mean run time, microseconds, where jobs carry no hint
-}
-
-type worker struct {
-	Worker
-	told      bool // on the list
-	room      float64
-	use       float64 // our slots in flight
-	running   float64 // our slots that have started
-	peak      float64 // most of running ever
-	lists     [bands]queue
-	base      Time // quickest start
-	pace      float64
-	fails     float64
-	distrust  bool
-	stalled   bool
-	trialAt   Time
-	coldSpent float64 // microseconds of work sent while cold and not yet drained from the budget
-	coldAt    Time
-}
-
-// Dispatcher decides for one submitter. It is not safe for use by several goroutines at once.
-type Dispatcher struct {
-	s        Settings
-	rng      *rand.Rand
-	now      Time
-	out      []Action
-	classes  []classState
-	workers  []*worker // by id
-	ready    []*worker
-	jobs     []*job // by id
-	pool     []*job
-	held     [bands]queue // all held jobs, in the order of their landing
-	waiting  [bands]float64
-	timers   timerHeap
-	serial   uint64
-	armedAt  Time
-	sweepAt  Time
-	pace     float64
-	rate     float64 // finished slots a second
-	rateAt   Time
-	extra    float64
-	version  uint64
-	askAt    Time // when to ask for the list again
-	askWait  Time
-	watching bool
-}
-
-// New returns a dispatcher that knows no worker yet. The same settings, seed and events give the same actions.
-func New(s Settings, seed uint64) (*Dispatcher, error) {
-	if err := validate(&s); err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
-	}
-	d := &Dispatcher{s: s, rng: rand.New(rand.NewPCG(seed, 1)), armedAt: never, sweepAt: never, askAt: never,
-		askWait: watchRetry, pace: 1, extra: extraMost}
-	for _, c := range s.Classes {
-		d.classes = append(d.classes, classState{Class: c, run: float64(c.Aim)})
-	}
-	return d, nil
-}
-
-func validate(s *Settings) error {
-	if len(s.Classes) == 0 {
-		return errors.New("Classes: there are none")
-	}
-	for i, c := range s.Classes {
-		if c.Kind < -1 || c.Kind >= s.Kinds {
-			return fmt.Errorf("Classes[%d].Kind: %d is out of range", i, c.Kind)
-		}
-		if c.Aim < 0 || c.Deadline <= 0 || c.Window < 0 || c.Stretch < 0 {
-			return fmt.Errorf("Classes[%d]: Aim, Stretch, Deadline or Window is negative or missing", i)
-		}
-	}
-	if s.GroupSize < 1 || s.MaxAttempts < 1 {
-		return errors.New("GroupSize, MaxAttempts: must be 1 or more")
-	}
-	if s.Tick < 0 || s.DrainGrace < 0 || s.WarmWithin < 0 || s.FallWindow < 0 || s.AskWithin < 0 || s.Progress < 0 {
-		return errors.New("Tick, DrainGrace, WarmWithin, FallWindow, AskWithin or Progress is negative")
-	}
-	return nil
-}
-
 // Handle decides on one event and appends what is to be done to out.
 func (d *Dispatcher) Handle(now Time, e *Event, out []Action) []Action {
 	d.now, d.out = max(now, d.now), out
@@ -227,7 +105,7 @@
 	j.attempts = append(j.attempts, attempt{w: w, sentAt: d.now, noteAt: d.now, out: true})
 	w.use += j.need
 	if d.cold(w) > 0 {
-		w.coldSpent += d.cost(j, w)
+		w.coldSpent += d.cost(j)
 	}
 	if w.distrust {
 		w.trialAt = d.now + trialGap
@@ -298,10 +176,11 @@
 	budget := coldShare * d.s.FallMultiple * share * size / float64(d.s.GroupSize)
 	w.coldSpent = max(0, w.coldSpent-budget*float64(d.now-w.coldAt))
 	w.coldAt = d.now
-	return w.coldSpent+d.cost(j, w) <= budget*float64(d.s.FallWindow)
+	return w.coldSpent+d.cost(j) <= budget*float64(d.s.FallWindow)
 }
 
-func (d *Dispatcher) cost(j *job, w *worker) float64 { return d.expect(j) * d.pace * j.need }
+// cost counts a small job as a mean one: a cold worker is worn by each job, and jobs that look small go first.
+func (d *Dispatcher) cost(j *job) float64 { return max(d.expect(j), d.meanWork) * d.pace * j.need }
 
 // ---- Landing, holding and the held lists.
 
@@ -323,6 +202,7 @@
 	}
 	d.jobs[e.Request] = j
 	d.extra = min(extraMost, d.extra+extraShare)
+	d.meanWork += (d.expect(j) - d.meanWork) * 0.02
 	if d.now+d.backlog() > d.latestStart(j) && !d.demote(j) {
 		d.finish(j) // guards against a queue of jobs that all end late
 		return
