--- a/rules/rules.go
+++ b/rules/rules.go
@@ -25,6 +25,7 @@
 	rateWindow  = 2 * Second        // over which the rate of finished slots is taken
 	coldShare   = 0.7               // of our part of a cold worker's budget: hints err, jobs are few
 	sweepEvery  = 50 * Millisecond  // rooms that open with time alone are looked at this often
+	lateRoom    = 1.5               // expected runs that must fit before the client gives up
 	scanMost    = 8                 // list entries looked at for one that fits: bounds the work per event
 	watchRetry  = 200 * Millisecond // first wait before a lost list is asked for again; doubles
 	crossWait   = 2 * Second        // wait in the own zone, times the price of a crossing
@@ -221,6 +222,9 @@
 // latestStart is when the job must start to end in time on a usual worker.
 func (d *Dispatcher) latestStart(j *job) Time { return j.aimAt - Time(d.expect(j)*d.pace) }
 
+// lastStart is when the job must start to end at all before its client gives up.
+func (d *Dispatcher) lastStart(j *job) Time { return j.end - Time(d.expect(j)*d.pace*lateRoom) }
+
 // backlog is how long the work that waits in time would take at the recent rate.
 func (d *Dispatcher) backlog() Time {
 	if d.waiting[onTime] == 0 {
@@ -235,7 +239,7 @@
 
 // demote moves a job that has lost its full worth behind the others; it reports false where nothing is left of it.
 func (d *Dispatcher) demote(j *job) bool {
-	if j.class.LateWorth <= 0 || d.now+Time(d.expect(j)*d.pace) >= j.end {
+	if j.class.LateWorth <= 0 || d.now >= d.lastStart(j) {
 		return false
 	}
 	j.band = behind
@@ -304,6 +308,9 @@
 		// Guards against a black hole, a worker that errs or hangs and so always has room: single trials only.
 		return w.use == 0 && d.now >= w.trialAt && j.class.Effect != Unsafe
 	}
+	if d.now+Time(d.expect(j)*w.pace*lateRoom) > j.end {
+		return false // guards against work that the client has given up on, which may run on at the worker
+	}
 	slow := w.pace > 1.5*d.pace && j.band == onTime // guards against ones so slow that the job would end late
 	if slow && d.now+Time(d.expect(j)*w.pace) > j.aimAt {
 		return false
@@ -357,6 +364,8 @@
 			at = min(at, j.heldAt+joinTick)
 		} else if j.band == onTime {
 			at = min(at, max(d.latestStart(j), d.now+Millisecond))
+		} else {
+			at = min(at, max(d.lastStart(j), d.now+Millisecond))
 		}
 	}
 	for i := range j.attempts {
@@ -423,6 +432,10 @@
 			d.overdue(j, a)
 		}
 	}
+	if j.ticket != 0 && d.now >= d.lastStart(j) {
+		d.finish(j)
+		return
+	}
 	if j.ticket != 0 && j.band == onTime && d.now >= d.latestStart(j) {
 		d.unhold(j)
 		if !d.demote(j) {
