--- a/rules/rules.go
+++ b/rules/rules.go
@@ -19,6 +19,7 @@
 	failWeight  = 0.2               // weight of the newest outcome in a worker's failure share
 	failMargin  = 0.25              // failure share above twice the peers' that makes a worker distrusted
 	trialGap    = 500 * Millisecond // between trials of a distrusted worker
+	trialMost   = 4 * Second        // the longest gap between trials of a worker that gives no sign
 	paceWeight  = 0.2               // weight of the newest run in a worker's pace
 	extraShare  = 0.15              // further attempts for each landing: bounds retry storms
 	extraMost   = 10.0              // saved up at most
@@ -108,8 +109,9 @@
 	if d.cold(w) > 0 {
 		w.coldSpent += d.cost(j)
 	}
-	if w.distrust {
-		w.trialAt = d.now + trialGap
+	if w.distrust || w.stalled {
+		w.gap = min(max(2*w.gap, trialGap), trialMost)
+		w.trialAt = d.now + w.gap
 	}
 	d.emit(Action{Kind: Send, Request: j.id, Worker: w.ID})
 	d.schedule(j)
@@ -464,8 +466,8 @@
 		return
 	}
 	if d.s.Progress > 0 && !a.stalled && d.now >= a.noteAt+d.s.Progress+stallSlack {
-		a.stalled, w.stalled = true, true // guards against a worker that takes jobs and answers none
-		w.trialAt = d.now + trialGap
+		a.stalled = true // guards against a worker that takes jobs and answers none
+		d.suspect(w)
 		d.again(j)
 	}
 }
@@ -514,7 +516,8 @@
 	case Started:
 		d.started(j, a)
 	case Progressed:
-		a.noteAt, a.stalled, w.stalled = d.now, false, false
+		a.noteAt, a.stalled = d.now, false
+		w.sign()
 		if run := d.now - a.startedAt; a.startedAt > 0 && e.Done > 0.02 {
 			d.learnPace(w, max(w.pace, float64(run)/e.Done/d.expect(j)), paceWeight/2)
 		}
@@ -526,12 +529,22 @@
 	}
 }
 
+// suspect leaves a worker that gives no sign to single trials, further and further apart, until it gives one.
+func (d *Dispatcher) suspect(w *worker) {
+	if !w.stalled {
+		w.stalled, w.gap, w.trialAt = true, trialGap/2, d.now+trialGap/2
+	}
+}
+
+func (w *worker) sign() { w.stalled, w.gap = false, 0 }
+
 func (d *Dispatcher) started(j *job, a *attempt) {
 	if a.startedAt > 0 {
 		return
 	}
 	w, delay := a.w, d.now-a.sentAt
-	a.startedAt, a.noteAt, w.stalled = d.now, d.now, false
+	a.startedAt, a.noteAt = d.now, d.now
+	w.sign()
 	w.running += j.need
 	w.peak = max(w.peak, w.running)
 	if w.base == 0 || delay < w.base {
@@ -561,7 +574,7 @@
 			w.room = max(roomFloor, min(w.room, w.use))
 		}
 		if e.Result == Unreachable {
-			w.judge(1)
+			d.suspect(w) // guards against a cut link or a dead worker, which fail every send and always have room
 		}
 	case Failed, Disconnected:
 		w.judge(1)
@@ -594,7 +607,7 @@
 func (d *Dispatcher) succeeded(j *job, a *attempt, full bool) {
 	w, from := a.w, a.startedAt
 	w.judge(0)
-	w.stalled = false
+	w.sign()
 	if from == 0 {
 		from = a.sentAt
 	}
@@ -682,7 +695,8 @@
 		d.workers[n.ID] = w
 	}
 	if n.StartedAt > w.StartedAt { // it restarted: cold, and what it was doing is lost
-		w.coldSpent, w.coldAt, w.fails, w.stalled, w.pace = 0, d.now, 0, false, d.pace
+		w.coldSpent, w.coldAt, w.fails, w.pace = 0, d.now, 0, d.pace
+		w.sign()
 	}
 	w.Worker, w.told = *n, n.State != Gone
 }
--- a/rules/state.go
+++ b/rules/state.go
@@ -64,6 +64,7 @@
 	distrust  bool
 	stalled   bool
 	trialAt   Time
+	gap       Time    // between trials of a worker that gives no sign
 	coldSpent float64 // microseconds of work sent while cold and not yet drained from the budget
 	coldAt    Time
 }
