--- a/rules/rules.go
+++ b/rules/rules.go
@@ -14,7 +14,7 @@
 	roomStart   = 2.0               // slots; a worker of unknown size takes this from each dispatcher
 	roomFloor   = 1.0               // slots; one job keeps a worker's notes coming
 	roomStep    = 0.25              // slots of room for each slot of success at the room
-	queueSlack  = 40 * Millisecond  // a start later than the quickest by this means a queue at the worker
+	queueSlack  = 40 * Millisecond  // a start this much later than four quickest ones (a new connection) means a queue
 	stallSlack  = 400 * Millisecond // a progress note later than this is no pause: the worker stands still
 	failWeight  = 0.2               // weight of the newest outcome in a worker's failure share
 	failMargin  = 0.25              // failure share above twice the peers' that makes a worker distrusted
@@ -390,7 +390,7 @@
 	if w.base == 0 {
 		return 5 * queueSlack
 	}
-	return w.base + queueSlack
+	return 4*w.base + queueSlack
 }
 
 func (d *Dispatcher) runTimers() {
