--- a/rules/rules.go
+++ b/rules/rules.go
@@ -13,7 +13,7 @@
 	joinTick    = 10 * Millisecond  // no room for this long: further workers join the picks
 	roomStart   = 2.0               // slots; a worker of unknown size takes this from each dispatcher
 	roomFloor   = 1.0               // slots; one job keeps a worker's notes coming
-	roomStep    = 0.25              // slots of room for each slot of success at the room
+	roomStep    = 1.0              // slots of room for each slot of success at the room
 	queueSlack  = 40 * Millisecond  // a start this much later than four quickest ones (a new connection) means a queue
 	stallSlack  = 400 * Millisecond // a progress note later than this is no pause: the worker stands still
 	failWeight  = 0.2               // weight of the newest outcome in a worker's failure share
@@ -206,7 +206,7 @@
 	d.jobs[e.Request] = j
 	d.extra = min(extraMost, d.extra+extraShare)
 	d.meanWork += (d.expect(j) - d.meanWork) * 0.02
-	if d.now+d.backlog() > d.latestStart(j) && !d.demote(j) {
+	if d.now > d.latestStart(j) && !d.demote(j) {
 		d.finish(j) // guards against a queue of jobs that all end late
 		return
 	}
