--- a/rules/rules.go
+++ b/rules/rules.go
@@ -3,9 +3,7 @@
 // Every decision of the dispatcher. The interface (settings, events, actions) stands in rules/interface.go; why the
 // decisions are as they are, and when each exception to the design acts, in docs/design.md.
 
-import (
-	"math"
-)
+import ()
 
 // Constants: value, unit, reason. docs/design.md tells how sensitive results are to each.
 const (
@@ -13,7 +11,7 @@
 	joinTick    = 10 * Millisecond  // no room for this long: further workers join the picks
 	roomStart   = 2.0               // slots; a worker of unknown size takes this from each dispatcher
 	roomFloor   = 1.0               // slots; one job keeps a worker's notes coming
-	roomStep    = 1.0              // slots of room for each slot of success at the room
+	roomStep    = 1.0               // slots of room for each slot of success at the room
 	queueSlack  = 40 * Millisecond  // a start this much later than four quickest ones (a new connection) means a queue
 	stallSlack  = 400 * Millisecond // a progress note later than this is no pause: the worker stands still
 	failWeight  = 0.2               // weight of the newest outcome in a worker's failure share
@@ -23,7 +21,6 @@
 	paceWeight  = 0.2               // weight of the newest run in a worker's pace
 	extraShare  = 0.15              // further attempts for each landing: bounds retry storms
 	extraMost   = 10.0              // saved up at most
-	rateWindow  = 2 * Second        // over which the rate of finished slots is taken
 	coldShare   = 0.7               // of our part of a cold worker's budget: hints err, jobs are few
 	sweepEvery  = 50 * Millisecond  // rooms that open with time alone are looked at this often
 	lateRoom    = 1.5               // expected runs that must fit before the client gives up
@@ -106,6 +103,7 @@
 	d.unhold(j)
 	j.attempts = append(j.attempts, attempt{w: w, sentAt: d.now, noteAt: d.now, out: true})
 	w.use += j.need
+	d.inUse += j.need
 	if d.cold(w) > 0 {
 		w.coldSpent += d.cost(j)
 	}
@@ -206,7 +204,7 @@
 	d.jobs[e.Request] = j
 	d.extra = min(extraMost, d.extra+extraShare)
 	d.meanWork += (d.expect(j) - d.meanWork) * 0.02
-	if d.now > d.latestStart(j) && !d.demote(j) {
+	if d.now+d.backlog() > d.latestStart(j) && !d.demote(j) {
 		d.finish(j) // guards against a queue of jobs that all end late
 		return
 	}
@@ -227,16 +225,12 @@
 // lastStart is when the job must start to end at all before its client gives up.
 func (d *Dispatcher) lastStart(j *job) Time { return j.end - Time(d.expect(j)*d.pace*lateRoom) }
 
-// backlog is how long the work that waits in time would take at the recent rate.
+// backlog is how long the work that waits in time would take with the slots in flight (Little's law).
 func (d *Dispatcher) backlog() Time {
 	if d.waiting[onTime] == 0 {
 		return 0
 	}
-	return Time(d.waiting[onTime] / max(d.rateNow(), 0.5) * float64(Second))
-}
-
-func (d *Dispatcher) rateNow() float64 {
-	return d.rate * math.Exp(-float64(d.now-d.rateAt)/float64(rateWindow))
+	return Time(d.waiting[onTime] * d.meanWork * d.pace / max(d.inUse, 1))
 }
 
 // demote moves a job that has lost its full worth behind the others; it reports false where nothing is left of it.
@@ -562,6 +556,7 @@
 	full := w.use+0.5 >= w.room
 	a.out = false
 	w.use -= j.need
+	d.inUse -= j.need
 	if a.startedAt > 0 {
 		w.running -= j.need
 	}
@@ -615,8 +610,6 @@
 	j.class.run += (run - j.class.run) * 0.02
 	d.learnPace(w, run/max(d.expect(j), 1), paceWeight)
 	d.pace += (run/max(d.expect(j), 1) - d.pace) * 0.02
-	d.rate = d.rateNow() + j.need*float64(Second)/float64(rateWindow)
-	d.rateAt = d.now
 	if full && !a.queued {
 		w.room += j.need * roomStep
 	}
--- a/rules/state.go
+++ b/rules/state.go
@@ -88,8 +88,7 @@
 	sweepAt  Time
 	pace     float64
 	meanWork float64 // of landed jobs
-	rate     float64 // finished slots a second
-	rateAt   Time
+	inUse    float64 // our slots in flight at all workers
 	extra    float64
 	version  uint64
 	askAt    Time // when to ask for the list again
