Take heavy jobs that the quickest workers can still end in time

Cause: jobs whose run on a usual worker passes their aim or the client's patience were refused at landing, though half the fleet could do them, and heavy jobs carry the most worth where worth goes by work.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -3,8 +3,6 @@
 // Every decision of the dispatcher. The interface (settings, events, actions) stands in rules/interface.go; why the
 // decisions are as they are, and when each exception to the design acts, in docs/design.md.
 
-import ()
-
 // Constants: value, unit, reason. docs/design.md tells how sensitive results are to each.
 const (
 	pickCount   = 2                 // held lists a job joins at its landing: the paper's d
@@ -23,6 +21,7 @@
 	extraMost   = 10.0              // saved up at most
 	coldShare   = 0.7               // of our part of a cold worker's budget: hints err, jobs are few
 	sweepEvery  = 50 * Millisecond  // rooms that open with time alone are looked at this often
+	slowFrom    = 1.5               // times the mean pace: such a worker gets no job that would end late there
 	lateRoom    = 1.5               // expected runs that must fit before the client gives up
 	scanMost    = 8                 // list entries looked at for one that fits: bounds the work per event
 	watchRetry  = 200 * Millisecond // first wait before a lost list is asked for again; doubles
@@ -197,7 +196,7 @@
 	*j = job{id: e.Request, class: c, tenant: e.Tenant, need: max(float64(e.Slots), e.Memory, 1), work: e.Work,
 		landed: d.now, end: d.now + e.Left - d.s.Tick, open: true, attempts: j.attempts[:0]}
 	gone := max(0, c.Deadline-e.Left) // earlier tries of the client have used this much of the aim
-	j.aimAt = d.now - gone + c.Aim + Time(c.Stretch*d.expect(j))
+	j.aimAt = min(d.now-gone+c.Aim+Time(c.Stretch*d.expect(j)), j.end)
 	for int(e.Request) >= len(d.jobs) {
 		d.jobs = append(d.jobs, nil)
 	}
@@ -219,11 +218,16 @@
 	return j.class.run
 }
 
-// latestStart is when the job must start to end in time on a usual worker.
-func (d *Dispatcher) latestStart(j *job) Time { return j.aimAt - Time(d.expect(j)*d.pace) }
+// latestStart is when the job must start to end in time on a usual worker, or on the quickest if it is a heavy one.
+func (d *Dispatcher) latestStart(j *job) Time {
+	if start := j.aimAt - Time(d.expect(j)*d.pace); start > j.landed {
+		return start
+	}
+	return j.aimAt - Time(d.expect(j)*d.best)
+}
 
 // lastStart is when the job must start to end at all before its client gives up.
-func (d *Dispatcher) lastStart(j *job) Time { return j.end - Time(d.expect(j)*d.pace*lateRoom) }
+func (d *Dispatcher) lastStart(j *job) Time { return j.end - Time(d.expect(j)*d.best*lateRoom) }
 
 // backlog is how long the work that waits in time would take with the slots in flight (Little's law).
 func (d *Dispatcher) backlog() Time {
@@ -304,12 +308,13 @@
 		// Guards against a black hole, a worker that errs or hangs and so always has room: single trials only.
 		return w.use == 0 && d.now >= w.trialAt && j.class.Effect != Unsafe
 	}
-	if d.now+Time(d.expect(j)*w.pace*lateRoom) > j.end {
-		return false // guards against work that the client has given up on, which may run on at the worker
-	}
-	slow := w.pace > 1.5*d.pace && j.band == onTime // guards against ones so slow that the job would end late
-	if slow && d.now+Time(d.expect(j)*w.pace) > j.aimAt {
-		return false
+	if run := Time(d.expect(j) * w.pace); d.now+run > j.aimAt || j.band != onTime {
+		if j.band == onTime && w.pace > slowFrom*d.pace {
+			return false // guards against workers so slow that the job would end late
+		}
+		if d.now+Time(lateRoom*float64(run)) > j.end {
+			return false // guards against work that the client has given up on, which may run on at the worker
+		}
 	}
 	return w.use == 0 || w.use+j.need <= w.room
 }
@@ -625,7 +630,9 @@
 // is no worker's fault.
 func (d *Dispatcher) trust() {
 	sum, most := 0.0, len(d.ready)/3
+	d.best = d.pace
 	for _, w := range d.ready {
+		d.best = min(d.best, w.pace)
 		sum += w.fails
 	}
 	for _, w := range d.ready {
--- a/rules/state.go
+++ b/rules/state.go
@@ -87,6 +87,7 @@
 	armedAt  Time
 	sweepAt  Time
 	pace     float64
+	best     float64 // pace of the quickest ready worker
 	meanWork float64 // of landed jobs
 	inUse    float64 // our slots in flight at all workers
 	extra    float64
@@ -102,7 +103,7 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	d := &Dispatcher{s: s, rng: rand.New(rand.NewPCG(seed, 1)), armedAt: never, sweepAt: never, askAt: never,
-		askWait: watchRetry, pace: 1, extra: extraMost}
+		askWait: watchRetry, pace: 1, best: 1, extra: extraMost}
 	for _, c := range s.Classes {
 		d.meanWork = max(d.meanWork, float64(c.Aim))
 		d.classes = append(d.classes, classState{Class: c, run: float64(c.Aim)})
