--- a/rules/rules.go
+++ b/rules/rules.go
@@ -517,7 +517,7 @@
 	case Progressed:
 		a.noteAt, a.stalled = d.now, false
 		w.sign()
-		if run := d.now - a.startedAt; a.startedAt > 0 && e.Done > 0.02 {
+		if run := d.now - a.startedAt; a.startedAt > 0 && e.Done > 0.02 && j.work > 0 {
 			d.learnPace(w, max(w.pace, float64(run)/e.Done/d.expect(j)), paceWeight/2)
 		}
 		d.schedule(j)
@@ -607,13 +607,21 @@
 func (d *Dispatcher) succeeded(j *job, a *attempt, full bool) {
 	w, from := a.w, a.startedAt
 	w.judge(0)
+	if w.distrust {
+		w.judge(0) // trials are few: each counts double
+		w.judge(0)
+	}
 	w.sign()
 	if from == 0 {
 		from = a.sentAt
 	}
 	run := float64(d.now - from)
 	j.class.run += (run - j.class.run) * 0.02
-	d.learnPace(w, run/max(d.expect(j), 1), paceWeight)
+	weight := paceWeight
+	if j.work == 0 {
+		weight /= 4 // without hints a long run mostly means a long job
+	}
+	d.learnPace(w, run/max(d.expect(j), 1), weight)
 	d.pace += (run/max(d.expect(j), 1) - d.pace) * 0.02
 	if full && !a.queued {
 		w.room += j.need * roomStep
