--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -163,6 +163,7 @@
 		FallWindow:     p.time("safety.fall", 0),
 		PriceWaste:     p.number("prices.waste", 0),
 		PriceLateFail:  p.number("prices.late_fail", 0),
+		PriceCross:     p.number("prices.cross_zone", 0),
 	}
 	if z, ok := n.zones[p.text("zone", "")]; ok {
 		s.Zone = z
--- a/rules/interface.go
+++ b/rules/interface.go
@@ -90,6 +90,7 @@
 
 	PriceWaste    float64 // price of work that served nobody, as a share of all work
 	PriceLateFail float64 // price of worth that ended unserved after its aim
+	PriceCross    float64 // price of one crossing between zones for each request
 }
 
 // EventKind tells events apart.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -25,7 +25,7 @@
 	lateRoom    = 1.5               // expected runs that must fit before the client gives up
 	scanMost    = 8                 // list entries looked at for one that fits: bounds the work per event
 	watchRetry  = 200 * Millisecond // first wait before a lost list is asked for again; doubles
-	crossWait   = 2 * Second        // wait in the own zone, times the price of a crossing
+	crossWait   = 200 * Millisecond // wait in the own zone, times the price of a crossing
 	listSilence = 3                 // asks per AskWithin at the least while the list is out of reach
 )
 
@@ -272,11 +272,16 @@
 	}
 }
 
+// pick draws a random ready worker, in the own zone where crossings have a price and there is one.
 func (d *Dispatcher) pick(j *job) *worker {
-	if len(d.ready) == 0 {
+	from := d.ready
+	if d.s.PriceCross > 0 && len(d.near) > 0 {
+		from = d.near
+	}
+	if len(from) == 0 {
 		return nil
 	}
-	return d.ready[d.rng.IntN(len(d.ready))]
+	return from[d.rng.IntN(len(from))]
 }
 
 // better returns the one of two workers with room for the job that uses less of its room, ties at random.
@@ -323,17 +328,27 @@
 func (d *Dispatcher) join(j *job) {
 	var best *worker
 	for _, w := range d.ready {
-		best = d.better(j, best, w)
+		if d.now >= j.heldAt+d.joinAfter(w) {
+			best = d.better(j, best, w)
+		}
 	}
 	if best != nil {
 		d.send(j, best)
 	}
 }
 
+// joinAfter is how long a job must have waited before w joins its picks: longer where that crosses zones at a price.
+func (d *Dispatcher) joinAfter(w *worker) Time {
+	if w.Zone == d.s.Zone {
+		return joinTick
+	}
+	return joinTick + Time(d.s.PriceCross*float64(crossWait))
+}
+
 // serve sends held jobs to a worker while it has room: its own list first, then jobs that have waited for a tick.
 func (d *Dispatcher) serve(w *worker) {
 	for b := range bands {
-		for w.told && w.State == Ready && (d.take(w, &w.lists[b], b, 0) || d.take(w, &d.held[b], b, joinTick)) {
+		for w.told && w.State == Ready && (d.take(w, &w.lists[b], b, 0) || d.take(w, &d.held[b], b, d.joinAfter(w))) {
 		}
 	}
 }
@@ -363,6 +378,8 @@
 	if j.ticket != 0 {
 		if d.now < j.heldAt+joinTick {
 			at = min(at, j.heldAt+joinTick)
+		} else if far := j.heldAt + joinTick + Time(d.s.PriceCross*float64(crossWait)); d.now < far {
+			at = min(at, far)
 		} else if j.band == onTime {
 			at = min(at, max(d.latestStart(j), d.now+Millisecond))
 		} else {
@@ -680,9 +697,13 @@
 		d.entry(&e.Workers[i])
 	}
 	d.ready = d.ready[:0]
+	d.near = d.near[:0]
 	for _, w := range d.workers {
 		if w != nil && w.told && w.State == Ready {
 			d.ready = append(d.ready, w)
+			if w.Zone == d.s.Zone {
+				d.near = append(d.near, w)
+			}
 		}
 	}
 	if d.s.ListOnRequest && e.Stale {
--- a/rules/state.go
+++ b/rules/state.go
@@ -78,7 +78,8 @@
 	classes  []classState
 	workers  []*worker // by id
 	ready    []*worker
-	jobs     []*job // by id
+	near     []*worker // the ready ones in our own zone
+	jobs     []*job    // by id
 	pool     []*job
 	held     [bands]queue // all held jobs, in the order of their landing
 	waiting  [bands]float64
