Let work beyond a tenant's share wait behind the rest

Cause: in bursts and overload the module shed traffic at random, while what goes beyond a share is worth a tenth or less. A bucket for each tenant, filled by our part of its quota, tells it apart.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -3,6 +3,8 @@
 // Every decision of the dispatcher. The interface (settings, events, actions) stands in rules/interface.go; why the
 // decisions are as they are, and when each exception to the design acts, in docs/design.md.
 
+import "math"
+
 // Constants: value, unit, reason. docs/design.md tells how sensitive results are to each.
 const (
 	pickCount   = 2                 // held lists a job joins at its landing: the paper's d
@@ -24,6 +26,8 @@
 	slowFrom    = 1.5               // times the mean pace: such a worker gets no job that would end late there
 	lateRoom    = 1.5               // expected runs that must fit before the client gives up
 	scanMost    = 8                 // list entries looked at for one that fits: bounds the work per event
+	usualOver   = 10 * Second       // over which our usual traffic is taken
+	shareDepth  = 1.0               // seconds of its quota that a tenant may send at once
 	watchRetry  = 200 * Millisecond // first wait before a lost list is asked for again; doubles
 	crossWait   = 200 * Millisecond // wait in the own zone, times the price of a crossing
 	listSilence = 3                 // asks per AskWithin at the least while the list is out of reach
@@ -128,7 +132,7 @@
 	}
 	a := Action{Kind: kind, Request: j.id}
 	if kind == Refuse && d.s.RetryAfter {
-		a.Wait = min(d.backlog(), d.s.MaxRetryAfter)
+		a.Wait = min(d.backlog(j), d.s.MaxRetryAfter)
 	}
 	d.emit(a)
 	d.close(j)
@@ -142,10 +146,8 @@
 }
 
 func (d *Dispatcher) forget(j *job) {
-	for i := range j.attempts {
-		if j.attempts[i].out {
-			return
-		}
+	if j.isOut() {
+		return
 	}
 	d.jobs[j.id] = nil
 	j.timer = 0
@@ -203,7 +205,10 @@
 	d.jobs[e.Request] = j
 	d.extra = min(extraMost, d.extra+extraShare)
 	d.meanWork += (d.expect(j) - d.meanWork) * 0.02
-	if d.now+d.backlog() > d.latestStart(j) && !d.demote(j) {
+	if d.overShare(j, e.Retry) {
+		j.band = behind
+	}
+	if d.now+d.backlog(j) > d.until(j) && !d.demote(j) {
 		d.finish(j) // guards against a queue of jobs that all end late
 		return
 	}
@@ -229,17 +234,54 @@
 // lastStart is when the job must start to end at all before its client gives up.
 func (d *Dispatcher) lastStart(j *job) Time { return j.end - Time(d.expect(j)*d.best*lateRoom) }
 
-// backlog is how long the work that waits in time would take with the slots in flight (Little's law).
-func (d *Dispatcher) backlog() Time {
-	if d.waiting[onTime] == 0 {
-		return 0
+// until is the last moment at which a send can still earn what the job's band stands for.
+func (d *Dispatcher) until(j *job) Time {
+	if j.band == behind && j.class.LateWorth > 0 {
+		return d.lastStart(j)
+	}
+	return d.latestStart(j)
+}
+
+// backlog is how long the work that waits before a job would take with the slots in flight (Little's law).
+func (d *Dispatcher) backlog(j *job) Time {
+	ahead := d.waiting[onTime]
+	if j.band == behind {
+		ahead += d.waiting[behind]
+	}
+	if j.ticket != 0 {
+		ahead -= j.need
+	}
+	return Time(max(0, ahead) * d.meanWork * d.pace / max(d.inUse, 1))
+}
+
+// overShare says whether a job goes beyond its tenant's share, which is worth little and must not starve the others.
+// Our part of a tenant's quota is taken to be our part of all traffic, which at usual times is about what the quotas
+// add up to.
+func (d *Dispatcher) overShare(j *job, retry bool) bool {
+	if j.tenant < 0 || j.tenant >= len(d.tenants) || d.s.OverShareWorth >= 1 || d.quotas <= 0 {
+		return false
+	}
+	t := &d.tenants[j.tenant]
+	if !retry {
+		keep := math.Exp(-float64(d.now-d.landedAt) / float64(usualOver))
+		d.landRate = d.landRate*keep + float64(Second)/float64(usualOver)
+		d.landedAt = d.now
+	}
+	refill := t.Quota * min(1, d.landRate/d.quotas)
+	t.left = min(max(1, refill*shareDepth), t.left+refill*float64(d.now-t.at)/float64(Second))
+	t.at = d.now
+	if t.left < 1 {
+		return true
 	}
-	return Time(d.waiting[onTime] * d.meanWork * d.pace / max(d.inUse, 1))
+	if !retry {
+		t.left--
+	}
+	return false
 }
 
 // demote moves a job that has lost its full worth behind the others; it reports false where nothing is left of it.
 func (d *Dispatcher) demote(j *job) bool {
-	if j.class.LateWorth <= 0 || d.now >= d.lastStart(j) {
+	if j.band == behind || j.class.LateWorth <= 0 || d.now >= d.lastStart(j) {
 		return false
 	}
 	j.band = behind
@@ -380,10 +422,8 @@
 			at = min(at, j.heldAt+joinTick)
 		} else if far := j.heldAt + joinTick + Time(d.s.PriceCross*float64(crossWait)); d.now < far {
 			at = min(at, far)
-		} else if j.band == onTime {
-			at = min(at, max(d.latestStart(j), d.now+Millisecond))
 		} else {
-			at = min(at, max(d.lastStart(j), d.now+Millisecond))
+			at = min(at, max(d.until(j), d.now+Millisecond))
 		}
 	}
 	for i := range j.attempts {
@@ -450,18 +490,13 @@
 			d.overdue(j, a)
 		}
 	}
-	if j.ticket != 0 && d.now >= d.lastStart(j) {
-		d.finish(j)
-		return
-	}
-	if j.ticket != 0 && j.band == onTime && d.now >= d.latestStart(j) {
+	if j.ticket != 0 && d.now >= d.until(j) {
 		d.unhold(j)
-		if !d.demote(j) {
-			d.finish(j)
+		if d.demote(j) {
+			d.hold(j)
 			return
 		}
-		d.hold(j)
-		return
+		d.finishIdle(j)
 	}
 	if j.ticket != 0 && d.now >= j.heldAt+joinTick {
 		d.join(j)
@@ -613,12 +648,14 @@
 	if d.now < j.end && d.again(j) {
 		return
 	}
-	for i := range j.attempts {
-		if j.attempts[i].out {
-			return
-		}
+	d.finishIdle(j)
+}
+
+// finishIdle ends a job unless an attempt is out that may still answer.
+func (d *Dispatcher) finishIdle(j *job) {
+	if !j.isOut() {
+		d.finish(j)
 	}
-	d.finish(j)
 }
 
 func (d *Dispatcher) succeeded(j *job, a *attempt, full bool) {
--- a/rules/state.go
+++ b/rules/state.go
@@ -50,6 +50,21 @@
 	run float64 // mean run time, microseconds, where jobs carry no hint
 }
 
+func (j *job) isOut() bool {
+	for i := range j.attempts {
+		if j.attempts[i].out {
+			return true
+		}
+	}
+	return false
+}
+
+type tenantState struct {
+	Tenant
+	left float64 // requests within the share
+	at   Time
+}
+
 type worker struct {
 	Worker
 	told      bool // on the list
@@ -76,6 +91,10 @@
 	now      Time
 	out      []Action
 	classes  []classState
+	tenants  []tenantState
+	quotas   float64 // of all tenants together
+	landRate float64 // our usual landings a second
+	landedAt Time
 	workers  []*worker // by id
 	ready    []*worker
 	near     []*worker // the ready ones in our own zone
@@ -109,6 +128,11 @@
 		d.meanWork = max(d.meanWork, float64(c.Aim))
 		d.classes = append(d.classes, classState{Class: c, run: float64(c.Aim)})
 	}
+	for _, t := range s.Tenants {
+		d.tenants = append(d.tenants, tenantState{Tenant: t})
+		d.quotas += t.Quota
+	}
+	d.landRate = d.quotas / float64(s.GroupSize)
 	return d, nil
 }
 
