--- a/rules/rules.go
+++ b/rules/rules.go
@@ -1,102 +1,47 @@
-package rules
+// Every decision of the dispatcher. Its interface (settings, events, actions) stands in rules/interface.go, what it
+// remembers in rules/state.go; docs/design.md tells why, and when each exception to the design acts.
 
-// Every decision of the dispatcher. The interface (settings, events, actions) stands in rules/interface.go; why the
-// decisions are as they are, and when each exception to the design acts, in docs/design.md.
+package rules
 
 import "math"
 
-// Constants: value, unit, reason. docs/design.md tells how sensitive results are to each.
+// Constants: value, unit, reason. docs/design.md tells how sensitive the results are to each.
 const (
-	pickCount   = 2                 // held lists a job joins at its landing: the paper's d
-	joinTick    = 10 * Millisecond  // no room for this long: further workers join the picks
-	roomStart   = 2.0               // slots; a worker of unknown size takes this from each dispatcher
-	roomFloor   = 1.0               // slots; one job keeps a worker's notes coming
-	roomStep    = 1.0               // slots of room for each slot of success at the room
-	queueSlack  = 40 * Millisecond  // a start this much later than four quickest ones (a new connection) means a queue
-	stallSlack  = 400 * Millisecond // a progress note later than this is no pause: the worker stands still
-	failWeight  = 0.2               // weight of the newest outcome in a worker's failure share
-	failMargin  = 0.25              // failure share above twice the peers' that makes a worker distrusted
-	trialGap    = 500 * Millisecond // between trials of a distrusted worker
-	trialMost   = 4 * Second        // the longest gap between trials of a worker that gives no sign
-	paceWeight  = 0.2               // weight of the newest run in a worker's pace
-	extraShare  = 0.15              // further attempts for each landing: bounds retry storms
-	extraMost   = 10.0              // saved up at most
-	coldShare   = 0.7               // of our part of a cold worker's budget: hints err, jobs are few
-	sweepEvery  = 50 * Millisecond  // rooms that open with time alone are looked at this often
-	slowFrom    = 1.5               // times the mean pace: such a worker gets no job that would end late there
-	lateRoom    = 1.5               // expected runs that must fit before the client gives up
-	scanMost    = 8                 // list entries looked at for one that fits: bounds the work per event
-	usualOver   = 10 * Second       // over which our usual traffic is taken
-	shareDepth  = 1.0               // seconds of its quota that a tenant may send at once
-	watchRetry  = 200 * Millisecond // first wait before a lost list is asked for again; doubles
-	crossWait   = 200 * Millisecond // wait in the own zone, times the price of a crossing
-	listSilence = 3                 // asks per AskWithin at the least while the list is out of reach
+	pickCount  = 2                 // held lists that a job joins at its landing: the paper's d
+	joinTick   = 10 * Millisecond  // no room for this long: further workers join the picks
+	crossWait  = 2 * Second / 10   // longer wait, times the price of a crossing, before ones of other zones do
+	roomStart  = 2.0               // slots; every dispatcher takes this of a worker whose size nobody knows
+	roomStep   = 1.0               // slots of room for each slot of success at the room
+	roomFloor  = 1.0 / 8           // slots; a job now and then keeps a worker's notes coming
+	queueSlack = 40 * Millisecond  // a start later than four of the quickest (a new connection) and this: a queue
+	stallSlack = 400 * Millisecond // a progress note later than this is no pause: the worker stands still
+	failWeight = 0.2               // weight of the newest outcome in a worker's share of failures
+	failMargin = 0.25              // share of failures, above twice the peers', that makes a worker distrusted
+	trialGap   = 500 * Millisecond // between the first trials of a worker that is distrusted or silent
+	trialMost  = 4 * Second        // between its trials at the most: they double
+	paceWeight = 0.2               // weight of the newest run in a worker's pace
+	slowFrom   = 1.5               // times the mean pace: such a worker gets no job that would end late there
+	lateRoom   = 1.5               // expected runs that must fit in before the client gives up
+	meanWeight = 0.02              // weight of the newest job in means over all workers
+	extraShare = 0.15              // further attempts for each landing: bounds retry storms
+	extraMost  = 10.0              // further attempts saved up at most
+	coldShare  = 0.7               // of our part of a cold worker's budget: few jobs make for chance
+	usualOver  = 10 * Second       // over which our usual traffic is taken
+	shareDepth = 1.0               // seconds of its quota that a tenant may send at once
+	sweepEvery = 50 * Millisecond  // rooms that open with time alone are looked at this often
+	scanMost   = 8                 // held jobs looked at for one that fits: bounds the work of an event
+	askAgain   = 200 * Millisecond // first wait before a lost list is asked for again: doubles
+	askTimes   = 3                 // asks within AskWithin at the least while there is no answer
 )
 
-// Handle decides on one event and appends what is to be done to out.
-func (d *Dispatcher) Handle(now Time, e *Event, out []Action) []Action {
-	d.now, d.out = max(now, d.now), out
-	switch e.Kind {
-	case ListSnapshot, ListChange, ListLost:
-		d.listNews(e)
-	case Arrived:
-		d.land(e)
-	case Started, Progressed, AnswerBegan, Ended:
-		d.attemptNews(e)
-	case ClientGone:
-		if j := d.job(e.Request); j != nil {
-			d.close(j)
-		}
-	case TimerFired:
-		if d.armedAt <= d.now {
-			d.armedAt = never
-		}
-	}
-	d.runTimers()
-	out, d.out = d.out, nil
-	return out
-}
-
-func (d *Dispatcher) job(id RequestID) *job {
-	if int(id) < len(d.jobs) {
-		return d.jobs[id]
-	}
-	return nil
-}
-
-func (d *Dispatcher) emit(a Action) { d.out = append(d.out, a) }
-
-// ---- The choke point: every send and every final answer passes send or finish, which keep the four rules.
-
-// mayRepeat keeps rule two: whether a further attempt at w can have no second effect.
-func (d *Dispatcher) mayRepeat(j *job, w *worker) bool {
-	for i := range j.attempts {
-		a := &j.attempts[i]
-		if a.neverRan {
-			continue
-		}
-		if a.out && (!d.s.SecondCopies || a.w == w) {
-			return false
-		}
-		switch j.class.Effect {
-		case Safe:
-		case Keyed:
-			same := j.class.Group == GroupAll || j.class.Group == GroupZone && a.w.Zone == w.Zone && w.Zone >= 0 ||
-				j.class.Group == GroupCell && a.w.Cell == w.Cell && w.Cell >= 0
-			if !same || d.now+d.s.Tick >= a.sentAt+j.class.Window {
-				return false
-			}
-		default:
-			return false
-		}
-	}
-	return true
-}
+// ---- The choke point: every send and every final answer goes through send and finish, which keep the four rules.
 
-// maySend says whether the rules allow a send now; it does not look at room.
+// maySend says whether the rules allow an attempt now. It does not look at room.
 func (d *Dispatcher) maySend(j *job, w *worker) bool {
-	return j.open && d.now < j.end && len(j.attempts) < d.s.MaxAttempts && w.told && w.State == Ready &&
-		d.mayRepeat(j, w) && d.coldAllows(j, w)
+	return j.open && d.now < j.end && len(j.attempts) < d.s.MaxAttempts && // rule one
+		d.mayRepeat(j, w) && // rule two
+		w.told && w.State == Ready && // rule three: not even within the grace
+		d.coldBears(j, w) // rule four
 }
 
 func (d *Dispatcher) send(j *job, w *worker) bool {
@@ -107,10 +52,10 @@
 	j.attempts = append(j.attempts, attempt{w: w, sentAt: d.now, noteAt: d.now, out: true})
 	w.use += j.need
 	d.inUse += j.need
-	if d.cold(w) > 0 {
-		w.coldSpent += d.cost(j)
+	if d.warmth(w) < 1 {
+		w.coldSpent += d.wear(j)
 	}
-	if w.distrust || w.stalled {
+	if w.distrust || w.silent {
 		w.gap = min(max(2*w.gap, trialGap), trialMost)
 		w.trialAt = d.now + w.gap
 	}
@@ -124,98 +69,74 @@
 	if !j.open {
 		return
 	}
-	kind := Refuse
-	for i := range j.attempts {
-		if !j.attempts[i].neverRan && j.class.Effect != Safe && (j.class.Effect != Keyed || j.class.Group != GroupAll) {
-			kind = GiveUp
-		}
-	}
-	a := Action{Kind: kind, Request: j.id}
-	if kind == Refuse && d.s.RetryAfter {
+	a := Action{Kind: Refuse, Request: j.id}
+	dropsRepeats := j.class.Effect == Safe || j.class.Effect == Keyed && j.class.Group == GroupAll
+	if j.mayHaveRun() && !dropsRepeats {
+		a.Kind = GiveUp
+	} else if d.s.RetryAfter {
 		a.Wait = min(d.backlog(j), d.s.MaxRetryAfter)
 	}
 	d.emit(a)
 	d.close(j)
 }
 
-// close ends a job that owes no answer any more. Its attempts that are out still hold their slots.
-func (d *Dispatcher) close(j *job) {
-	d.unhold(j)
-	j.open = false
-	d.forget(j)
+// mayRepeat says whether an attempt at w can have no second effect, whatever became of the earlier ones.
+func (d *Dispatcher) mayRepeat(j *job, w *worker) bool {
+	for i := range j.attempts {
+		a := &j.attempts[i]
+		switch {
+		case a.neverRan:
+		case a.out && (!d.s.SecondCopies || a.w == w):
+			return false
+		case j.class.Effect == Keyed:
+			if !sameGroup(j.class.Group, a.w, w) || d.now+d.s.Tick >= a.sentAt+j.class.Window {
+				return false
+			}
+		case j.class.Effect != Safe:
+			return false
+		}
+	}
+	return true
 }
 
-func (d *Dispatcher) forget(j *job) {
-	if j.isOut() {
-		return
-	}
-	d.jobs[j.id] = nil
-	j.timer = 0
-	d.pool = append(d.pool, j)
+func sameGroup(g Group, a, b *worker) bool {
+	return g == GroupAll || g == GroupZone && a.Zone >= 0 && a.Zone == b.Zone ||
+		g == GroupCell && a.Cell >= 0 && a.Cell == b.Cell
 }
 
-// cold returns the share of its capacity that a just started worker has at the least, 0 for a warm one.
-func (d *Dispatcher) cold(w *worker) float64 {
-	age := d.now - w.StartedAt
+// warmth is the share of its capacity that a worker has at the least.
+func (d *Dispatcher) warmth(w *worker) float64 {
+	age := max(0, d.now-w.StartedAt)
 	if w.StartedAt <= 0 || age >= d.s.WarmWithin {
-		return 0
+		return 1
 	}
-	return d.s.ColdFrom + (1-d.s.ColdFrom)*float64(max(age, 0))/float64(d.s.WarmWithin)
+	return d.s.ColdFrom + (1-d.s.ColdFrom)*float64(age)/float64(d.s.WarmWithin)
 }
 
-// coldAllows keeps rule four: a cold worker gets our part of what it can bear, as if all of the group sent alike.
-func (d *Dispatcher) coldAllows(j *job, w *worker) bool {
-	share := d.cold(w)
-	if share == 0 {
+// coldBears keeps a cold worker within our part of what it bears, as if the whole group sent alike.
+func (d *Dispatcher) coldBears(j *job, w *worker) bool {
+	warmth := d.warmth(w)
+	if warmth >= 1 {
 		return true
 	}
-	size := 1.0 // slots: the smallest that workers of its kind have shown
+	size := 1.0 // slots: what we have seen run at once on a worker of its kind, never more than it has
 	for _, p := range d.ready {
-		if p != w && p.Kind == w.Kind && p.peak > 0 {
+		if p != w && p.Kind == w.Kind {
 			size = max(size, p.peak)
 		}
 	}
-	budget := coldShare * d.s.FallMultiple * share * size / float64(d.s.GroupSize)
-	w.coldSpent = max(0, w.coldSpent-budget*float64(d.now-w.coldAt))
+	rate := coldShare * d.s.FallMultiple * warmth * size / float64(d.s.GroupSize)
+	w.coldSpent = max(0, w.coldSpent-rate*float64(d.now-w.coldAt))
 	w.coldAt = d.now
-	return w.coldSpent+d.cost(j) <= budget*float64(d.s.FallWindow)
+	return w.coldSpent+d.wear(j) <= rate*float64(d.s.FallWindow)
 }
 
-// cost counts a small job as a mean one: a cold worker is worn by each job, and jobs that look small go first.
-func (d *Dispatcher) cost(j *job) float64 { return max(d.expect(j), d.meanWork) * d.pace * j.need }
+// wear counts a small job as a mean one: each job wears a cold worker, and those that look small would go first.
+func (d *Dispatcher) wear(j *job) float64 { return max(d.expect(j), d.meanWork) * d.pace * j.need }
 
-// ---- Landing, holding and the held lists.
-
-func (d *Dispatcher) land(e *Event) {
-	if e.Class < 0 || e.Class >= len(d.classes) || d.job(e.Request) != nil {
-		return
-	}
-	j := &job{}
-	if n := len(d.pool); n > 0 {
-		j, d.pool = d.pool[n-1], d.pool[:n-1]
-	}
-	c := &d.classes[e.Class]
-	*j = job{id: e.Request, class: c, tenant: e.Tenant, need: max(float64(e.Slots), e.Memory, 1), work: e.Work,
-		landed: d.now, end: d.now + e.Left - d.s.Tick, open: true, attempts: j.attempts[:0]}
-	gone := max(0, c.Deadline-e.Left) // earlier tries of the client have used this much of the aim
-	j.aimAt = min(d.now-gone+c.Aim+Time(c.Stretch*d.expect(j)), j.end)
-	for int(e.Request) >= len(d.jobs) {
-		d.jobs = append(d.jobs, nil)
-	}
-	d.jobs[e.Request] = j
-	d.extra = min(extraMost, d.extra+extraShare)
-	d.meanWork += (d.expect(j) - d.meanWork) * 0.02
-	if d.overShare(j, e.Retry) {
-		j.band = behind
-	}
-	if d.now+d.backlog(j) > d.until(j) && !d.demote(j) {
-		d.finish(j) // guards against a queue of jobs that all end late
-		return
-	}
-	d.hold(j)
-}
+// ---- What a job is worth, and until when.
 
-// expect is the job's expected work in microseconds on a standard core.
+// expect is a job's expected work in microseconds on a standard core.
 func (d *Dispatcher) expect(j *job) float64 {
 	if j.work > 0 {
 		return float64(j.work)
@@ -223,26 +144,28 @@
 	return j.class.run
 }
 
-// latestStart is when the job must start to end in time on a usual worker, or on the quickest if it is a heavy one.
-func (d *Dispatcher) latestStart(j *job) Time {
-	if start := j.aimAt - Time(d.expect(j)*d.pace); start > j.landed {
-		return start
+// until is the last moment at which a send can earn what the job's band stands for: the full worth on a usual worker,
+// or on the quickest if it is a heavy job; late, the end of the client's patience.
+func (d *Dispatcher) until(j *job) Time {
+	if j.band == behind && j.class.LateWorth > 0 {
+		return j.end - Time(d.expect(j)*d.best*lateRoom)
+	}
+	if at := j.aimAt - Time(d.expect(j)*d.pace); at > j.landed {
+		return at
 	}
 	return j.aimAt - Time(d.expect(j)*d.best)
 }
 
-// lastStart is when the job must start to end at all before its client gives up.
-func (d *Dispatcher) lastStart(j *job) Time { return j.end - Time(d.expect(j)*d.best*lateRoom) }
-
-// until is the last moment at which a send can still earn what the job's band stands for.
-func (d *Dispatcher) until(j *job) Time {
-	if j.band == behind && j.class.LateWorth > 0 {
-		return d.lastStart(j)
+// demote moves a job that has lost its full worth behind the others; it reports false where nothing is left of it.
+func (d *Dispatcher) demote(j *job) bool {
+	if j.band == behind || j.class.LateWorth <= 0 {
+		return false
 	}
-	return d.latestStart(j)
+	j.band = behind
+	return d.now < d.until(j)
 }
 
-// backlog is how long the work that waits before a job would take with the slots in flight (Little's law).
+// backlog is how long the work that waits ahead of a job takes with the slots we have in flight (Little's law).
 func (d *Dispatcher) backlog(j *job) Time {
 	ahead := d.waiting[onTime]
 	if j.band == behind {
@@ -254,38 +177,41 @@
 	return Time(max(0, ahead) * d.meanWork * d.pace / max(d.inUse, 1))
 }
 
-// overShare says whether a job goes beyond its tenant's share, which is worth little and must not starve the others.
-// Our part of a tenant's quota is taken to be our part of all traffic, which at usual times is about what the quotas
-// add up to.
+// overShare says whether a job goes beyond its tenant's share: it is worth little and must not starve the others. Our
+// part of a quota is taken to be our part of all traffic, and that to be usually what the quotas add up to.
 func (d *Dispatcher) overShare(j *job, retry bool) bool {
-	if j.tenant < 0 || j.tenant >= len(d.tenants) || d.s.OverShareWorth >= 1 || d.quotas <= 0 {
+	t := j.tenant
+	if t == nil || d.s.OverShareWorth >= 1 || d.quotas <= 0 {
 		return false
 	}
-	t := &d.tenants[j.tenant]
 	if !retry {
 		keep := math.Exp(-float64(d.now-d.landedAt) / float64(usualOver))
 		d.landRate = d.landRate*keep + float64(Second)/float64(usualOver)
 		d.landedAt = d.now
 	}
-	refill := t.Quota * min(1, d.landRate/d.quotas)
-	t.left = min(max(1, refill*shareDepth), t.left+refill*float64(d.now-t.at)/float64(Second))
+	rate := t.Quota * min(1, d.landRate/d.quotas)
+	t.left = min(max(1, rate*shareDepth), t.left+rate*float64(d.now-t.at)/float64(Second))
 	t.at = d.now
-	if t.left < 1 {
-		return true
-	}
-	if !retry {
+	over := t.left < 1
+	if !over && !retry {
 		t.left--
 	}
-	return false
+	return over
 }
 
-// demote moves a job that has lost its full worth behind the others; it reports false where nothing is left of it.
-func (d *Dispatcher) demote(j *job) bool {
-	if j.band == behind || j.class.LateWorth <= 0 || d.now >= d.lastStart(j) {
-		return false
+// ---- Landing, and the held lists.
+
+func (d *Dispatcher) land(j *job, retry bool) {
+	d.extra = min(extraMost, d.extra+extraShare)
+	d.meanWork += (d.expect(j) - d.meanWork) * meanWeight
+	if d.overShare(j, retry) {
+		j.band = behind
 	}
-	j.band = behind
-	return true
+	if d.now+d.backlog(j) > d.until(j) && !d.demote(j) {
+		d.finish(j) // guards against a queue of jobs that all end late, and against waits that come to nothing
+		return
+	}
+	d.hold(j)
 }
 
 // hold joins the lists of random ready workers and sends at once where one of them has room.
@@ -296,7 +222,7 @@
 	d.held[j.band].push(j)
 	var best *worker
 	for range pickCount {
-		if w := d.pick(j); w != nil {
+		if w := d.pick(); w != nil {
 			w.lists[j.band].push(j)
 			best = d.better(j, best, w)
 		}
@@ -306,7 +232,7 @@
 	}
 }
 
-// unhold deletes the job's entries in all lists: they are skipped when their ticket no longer is the job's.
+// unhold deletes a job's entries in all lists: entries of another ticket than the job's are dead.
 func (d *Dispatcher) unhold(j *job) {
 	if j.ticket != 0 {
 		j.ticket = 0
@@ -314,8 +240,8 @@
 	}
 }
 
-// pick draws a random ready worker, in the own zone where crossings have a price and there is one.
-func (d *Dispatcher) pick(j *job) *worker {
+// pick draws a random ready worker, in the own zone if it has one and crossings have a price.
+func (d *Dispatcher) pick() *worker {
 	from := d.ready
 	if d.s.PriceCross > 0 && len(d.near) > 0 {
 		from = d.near
@@ -341,7 +267,7 @@
 	return a
 }
 
-// hasRoom says whether the job may go to w by the learned room and by w's health.
+// hasRoom says whether a job may go to w by the rules, by w's health and by its learned room.
 func (d *Dispatcher) hasRoom(j *job, w *worker) bool {
 	if !d.maySend(j, w) || j.class.Kind >= 0 && w.Kind != j.class.Kind {
 		return false
@@ -351,22 +277,29 @@
 			return false // guards against a worker that fails one job again and again
 		}
 	}
-	if w.distrust || w.stalled {
-		// Guards against a black hole, a worker that errs or hangs and so always has room: single trials only.
+	if w.distrust || w.silent {
+		// Guards against a black hole: a worker that errs or hangs always has room.
 		return w.use == 0 && d.now >= w.trialAt && j.class.Effect != Unsafe
 	}
-	if run := Time(d.expect(j) * w.pace); d.now+run > j.aimAt || j.band != onTime {
-		if j.band == onTime && w.pace > slowFrom*d.pace {
-			return false // guards against workers so slow that the job would end late
-		}
-		if d.now+Time(lateRoom*float64(run)) > j.end {
-			return false // guards against work that the client has given up on, which may run on at the worker
-		}
+	run := Time(d.expect(j) * w.pace)
+	if j.band == onTime && d.now+run > j.aimAt && w.pace > slowFrom*d.pace {
+		return false // guards against a slow worker, on which the job would end late
+	}
+	if (j.band == behind || d.now+run > j.aimAt) && d.now+Time(lateRoom*float64(run)) > j.end {
+		return false // guards against work that the client gives up on and that may run on at the worker
+	}
+	return w.use+j.need <= w.room || w.use == 0 && d.now >= w.openAt
+}
+
+// joinAfter is how long a job must have waited before w joins its picks.
+func (d *Dispatcher) joinAfter(w *worker) Time {
+	if w.Zone == d.s.Zone {
+		return joinTick
 	}
-	return w.use == 0 || w.use+j.need <= w.room
+	return joinTick + Time(d.s.PriceCross*float64(crossWait))
 }
 
-// join lets any ready worker with room take a job that has waited for a tick.
+// join adds all ready workers to the picks of a job that has waited for them long enough.
 func (d *Dispatcher) join(j *job) {
 	var best *worker
 	for _, w := range d.ready {
@@ -379,51 +312,53 @@
 	}
 }
 
-// joinAfter is how long a job must have waited before w joins its picks: longer where that crosses zones at a price.
-func (d *Dispatcher) joinAfter(w *worker) Time {
-	if w.Zone == d.s.Zone {
-		return joinTick
-	}
-	return joinTick + Time(d.s.PriceCross*float64(crossWait))
-}
-
-// serve sends held jobs to a worker while it has room: its own list first, then jobs that have waited for a tick.
+// serve sends held jobs to a worker while it has room: those of its own list, then those whose picks it may join.
 func (d *Dispatcher) serve(w *worker) {
+	if !w.told || w.State != Ready {
+		return
+	}
 	for b := range bands {
-		for w.told && w.State == Ready && (d.take(w, &w.lists[b], b, 0) || d.take(w, &d.held[b], b, d.joinAfter(w))) {
+		for d.take(w, &w.lists[b], b, 0) || d.take(w, &d.held[b], b, d.joinAfter(w)) {
 		}
 	}
 }
 
+func (d *Dispatcher) serveAll() {
+	for _, w := range d.ready {
+		d.serve(w)
+	}
+}
+
 // take sends the oldest job of a list that fits.
 func (d *Dispatcher) take(w *worker, q *queue, band int, age Time) bool {
 	q.trim()
 	seen := 0
-	for _, en := range q.items[q.head:] {
-		if !en.live() || en.j.band != band {
+	for _, e := range q.items[q.head:] {
+		if !e.live() || e.j.band != band {
 			continue
 		}
-		if seen++; seen > scanMost || d.now-en.j.heldAt < age {
+		if seen++; seen > scanMost || d.now < e.j.heldAt+age {
 			return false
 		}
-		if d.hasRoom(en.j, w) && d.send(en.j, w) {
+		if d.hasRoom(e.j, w) && d.send(e.j, w) {
 			return true
 		}
 	}
 	return false
 }
 
-// ---- Time: one live timer a job.
+// ---- Time.
 
+// schedule sets a job's timer to what is due first.
 func (d *Dispatcher) schedule(j *job) {
 	at := j.end
 	if j.ticket != 0 {
+		at = min(at, max(d.until(j), d.now+Millisecond))
+		far := j.heldAt + joinTick + Time(d.s.PriceCross*float64(crossWait))
 		if d.now < j.heldAt+joinTick {
 			at = min(at, j.heldAt+joinTick)
-		} else if far := j.heldAt + joinTick + Time(d.s.PriceCross*float64(crossWait)); d.now < far {
+		} else if d.now < far {
 			at = min(at, far)
-		} else {
-			at = min(at, max(d.until(j), d.now+Millisecond))
 		}
 	}
 	for i := range j.attempts {
@@ -436,50 +371,10 @@
 			at = min(at, a.noteAt+d.s.Progress+stallSlack)
 		}
 	}
-	d.serial++
-	j.timer = d.serial
-	d.timers.push(timer{at: max(at, d.now), j: j, serial: j.timer})
+	d.setTimer(j, at)
 }
 
-// startBy is how long after its send a job starts at the latest if nothing waits at the worker.
-func (w *worker) startBy() Time {
-	if w.base == 0 {
-		return 5 * queueSlack
-	}
-	return 4*w.base + queueSlack
-}
-
-func (d *Dispatcher) runTimers() {
-	for len(d.timers) > 0 && d.timers[0].at <= d.now {
-		t := d.timers.pop()
-		if t.j.timer == t.serial {
-			d.review(t.j)
-		}
-	}
-	if d.now >= d.askAt {
-		d.ask()
-	}
-	held := d.waiting[onTime]+d.waiting[behind] > 0
-	if d.now >= d.sweepAt {
-		d.sweepAt = never
-		for _, w := range d.ready {
-			d.serve(w)
-		}
-	}
-	if held && d.sweepAt == never {
-		d.sweepAt = d.now + sweepEvery
-	}
-	next := min(d.sweepAt, d.askAt)
-	if len(d.timers) > 0 {
-		next = min(next, d.timers[0].at)
-	}
-	if next < d.armedAt {
-		d.armedAt = max(next, d.now+d.s.Tick)
-		d.emit(Action{Kind: SetTimer, Wait: d.armedAt - d.now})
-	}
-}
-
-// review does what time has made due for a job and sets its next timer.
+// review does what time has made due for a job.
 func (d *Dispatcher) review(j *job) {
 	if d.now >= j.end {
 		d.finish(j)
@@ -492,13 +387,12 @@
 	}
 	if j.ticket != 0 && d.now >= d.until(j) {
 		d.unhold(j)
-		if d.demote(j) {
+		if !d.demote(j) {
+			d.finishIdle(j)
+		} else {
 			d.hold(j)
-			return
 		}
-		d.finishIdle(j)
-	}
-	if j.ticket != 0 && d.now >= j.heldAt+joinTick {
+	} else if j.ticket != 0 && d.now >= j.heldAt+joinTick {
 		d.join(j)
 	}
 	if j.open {
@@ -506,71 +400,56 @@
 	}
 }
 
+// finishIdle ends a job unless an attempt is out that may still answer.
+func (d *Dispatcher) finishIdle(j *job) {
+	if !j.isOut() {
+		d.finish(j)
+	}
+}
+
 // overdue judges an attempt whose start or progress should have been told of by now.
 func (d *Dispatcher) overdue(j *job, a *attempt) {
-	w := a.w
-	if a.startedAt == 0 {
-		if d.s.TellsStart && !a.queued && d.now >= a.sentAt+w.startBy() {
-			a.queued = true
-			w.cut() // guards against a queue at the worker, where jobs wait out of our reach
-		}
-		return
+	if a.startedAt == 0 && d.s.TellsStart && !a.queued && d.now >= a.sentAt+a.w.startBy() {
+		a.queued = true
+		a.w.cut()
 	}
-	if d.s.Progress > 0 && !a.stalled && d.now >= a.noteAt+d.s.Progress+stallSlack {
-		a.stalled = true // guards against a worker that takes jobs and answers none
-		d.suspect(w)
+	if a.startedAt > 0 && d.s.Progress > 0 && !a.stalled && d.now >= a.noteAt+d.s.Progress+stallSlack {
+		a.stalled = true
+		d.suspect(a.w) // guards against a worker that takes jobs and answers none
 		d.again(j)
 	}
 }
 
-func (w *worker) cut() { w.room = max(roomFloor, min(w.room, w.running)) }
-
 // again holds a job for a further attempt where rules, budget and time allow one; it reports whether it does.
 func (d *Dispatcher) again(j *job) bool {
 	if j.ticket != 0 {
 		return true
 	}
-	if !j.open || len(j.attempts) >= d.s.MaxAttempts || j.class.LateWorth <= 0 && d.now >= j.aimAt {
+	late := d.now >= d.until(j)
+	if !j.open || late && !d.demote(j) || len(j.attempts) >= d.s.MaxAttempts {
 		return false
 	}
-	free := true
-	for i := range j.attempts {
-		a := &j.attempts[i]
-		free = free && a.neverRan
-		if !a.neverRan && (j.class.Effect == Unsafe || a.out && !d.s.SecondCopies) {
-			return false
-		}
-	}
-	if !free {
-		if d.extra < 1 {
-			return false // guards against a storm of further attempts when all workers are slow or failing
+	if j.mayHaveRun() {
+		if j.class.Effect == Unsafe || j.isOut() && !d.s.SecondCopies || d.extra < 1 {
+			return false // the budget guards against a storm of attempts when all workers are slow or failing
 		}
 		d.extra--
 	}
-	if d.now >= d.latestStart(j) {
-		j.band = behind
-	}
 	d.hold(j)
 	return true
 }
 
-// ---- What workers tell.
+// ---- What workers tell, and how they are judged by it.
 
-func (d *Dispatcher) attemptNews(e *Event) {
-	j := d.job(e.Request)
-	if j == nil || e.Attempt < 0 || e.Attempt >= len(j.attempts) || !j.attempts[e.Attempt].out {
-		return
-	}
-	a := &j.attempts[e.Attempt]
-	w := a.w
+func (d *Dispatcher) attemptNews(j *job, a *attempt, e *Event) {
 	switch e.Kind {
 	case Started:
 		d.started(j, a)
 	case Progressed:
 		a.noteAt, a.stalled = d.now, false
-		w.sign()
-		if run := d.now - a.startedAt; a.startedAt > 0 && e.Done > 0.02 && j.work > 0 {
-			d.learnPace(w, max(w.pace, float64(run)/e.Done/d.expect(j)), paceWeight/2)
+		a.w.sign()
+		if run := float64(d.now - a.startedAt); a.startedAt > 0 && e.Done > 0.02 && j.work > 0 {
+			d.learnPace(a.w, max(a.w.pace, run/e.Done/d.expect(j)), paceWeight/2)
 		}
 		d.schedule(j)
 	case AnswerBegan:
@@ -580,26 +459,25 @@
 	}
 }
 
-// suspect leaves a worker that gives no sign to single trials, further and further apart, until it gives one.
-func (d *Dispatcher) suspect(w *worker) {
-	if !w.stalled {
-		w.stalled, w.gap, w.trialAt = true, trialGap/2, d.now+trialGap/2
+// startBy is how long after its send a job has started if nothing waits at the worker.
+func (w *worker) startBy() Time {
+	if w.base == 0 {
+		return 5 * queueSlack
 	}
+	return 4*w.base + queueSlack
 }
 
-func (w *worker) sign() { w.stalled, w.gap = false, 0 }
-
 func (d *Dispatcher) started(j *job, a *attempt) {
 	if a.startedAt > 0 {
 		return
 	}
-	w, delay := a.w, d.now-a.sentAt
+	w, delay := a.w, max(1, d.now-a.sentAt)
 	a.startedAt, a.noteAt = d.now, d.now
 	w.sign()
 	w.running += j.need
 	w.peak = max(w.peak, w.running)
 	if w.base == 0 || delay < w.base {
-		w.base = max(delay, 1)
+		w.base = delay
 	}
 	if !a.queued && delay > w.startBy() {
 		a.queued = true
@@ -608,77 +486,74 @@
 	d.schedule(j)
 }
 
+// cut guards against a queue at the worker, where jobs wait out of our reach: its room becomes what runs there of ours.
+// If that is nothing, others fill the worker, and we send one job at a time with pauses that double.
+func (w *worker) cut() {
+	if w.running >= 1 {
+		w.room = min(w.room, w.running)
+	} else {
+		w.room = max(roomFloor, min(w.room, 1)/2)
+	}
+}
+
 func (d *Dispatcher) ended(j *job, a *attempt, e *Event) {
 	w := a.w
-	full := w.use+0.5 >= w.room
+	atRoom := w.use+0.5 >= w.room
 	a.out = false
 	w.use -= j.need
 	d.inUse -= j.need
 	if a.startedAt > 0 {
 		w.running -= j.need
 	}
+	if w.room < 1 {
+		w.openAt = d.now + Time(d.meanWork*d.pace*(1/w.room-1))
+	}
 	switch e.Result {
 	case OK:
-		d.succeeded(j, a, full)
-	case Full, NotSent, Unreachable:
+		d.succeeded(j, a, atRoom)
+	case Full:
 		a.neverRan = true
-		if e.Result == Full {
-			w.room = max(roomFloor, min(w.room, w.use))
-		}
-		if e.Result == Unreachable {
-			d.suspect(w) // guards against a cut link or a dead worker, which fail every send and always have room
-		}
+		w.room = max(roomFloor, min(w.room, w.use))
+	case NotSent:
+		a.neverRan = true
+	case Unreachable:
+		a.neverRan = true
+		d.suspect(w) // guards against a cut link or a dead worker, which fail every send and always have room
 	case Failed, Disconnected:
 		w.judge(1)
 	}
 	d.trust()
-	if e.Final {
-		j.open = false
+	switch {
+	case e.Final:
 		d.close(j)
-	} else if j.open {
-		d.next(j)
-	} else {
+	case !j.open:
 		d.forget(j)
+	case d.now >= j.end || !d.again(j):
+		d.finishIdle(j)
 	}
 	d.serve(w)
 }
 
-// next decides about a job one of whose attempts has ended without an answer.
-func (d *Dispatcher) next(j *job) {
-	if d.now < j.end && d.again(j) {
-		return
-	}
-	d.finishIdle(j)
-}
-
-// finishIdle ends a job unless an attempt is out that may still answer.
-func (d *Dispatcher) finishIdle(j *job) {
-	if !j.isOut() {
-		d.finish(j)
-	}
-}
-
-func (d *Dispatcher) succeeded(j *job, a *attempt, full bool) {
+func (d *Dispatcher) succeeded(j *job, a *attempt, atRoom bool) {
 	w, from := a.w, a.startedAt
 	w.judge(0)
 	if w.distrust {
-		w.judge(0) // trials are few: each counts double
+		w.judge(0) // trials are few: each counts for three
 		w.judge(0)
 	}
 	w.sign()
 	if from == 0 {
 		from = a.sentAt
 	}
-	run := float64(d.now - from)
-	j.class.run += (run - j.class.run) * 0.02
-	weight := paceWeight
+	run, weight := float64(d.now-from), paceWeight
 	if j.work == 0 {
 		weight /= 4 // without hints a long run mostly means a long job
 	}
+	j.class.run += (run - j.class.run) * meanWeight
 	d.learnPace(w, run/max(d.expect(j), 1), weight)
-	d.pace += (run/max(d.expect(j), 1) - d.pace) * 0.02
-	if full && !a.queued {
-		w.room += j.need * roomStep
+	d.pace += (run/max(d.expect(j), 1) - d.pace) * meanWeight
+	if atRoom && !a.queued {
+		w.room += min(w.room, j.need*roomStep)
 	}
 }
 
@@ -688,14 +563,23 @@
 
 func (w *worker) judge(failed float64) { w.fails += (failed - w.fails) * failWeight }
 
-// trust marks workers that fail far more than their peers. At most a third of the ready ones: a trouble that all share
+// suspect leaves a worker that gives no sign to single trials, further and further apart, until it gives one.
+func (d *Dispatcher) suspect(w *worker) {
+	if !w.silent {
+		w.silent, w.gap, w.trialAt = true, trialGap/2, d.now+trialGap/2
+	}
+}
+
+func (w *worker) sign() { w.silent, w.gap = false, 0 }
+
+// trust marks workers that fail far more than their peers, at most a third of the ready ones: a trouble that all share
 // is no worker's fault.
 func (d *Dispatcher) trust() {
 	sum, most := 0.0, len(d.ready)/3
 	d.best = d.pace
 	for _, w := range d.ready {
-		d.best = min(d.best, w.pace)
 		sum += w.fails
+		d.best = min(d.best, w.pace)
 	}
 	for _, w := range d.ready {
 		peers := (sum - w.fails) / max(1, float64(len(d.ready)-1))
@@ -712,93 +596,48 @@
 
 // ---- The worker list.
 
-func (d *Dispatcher) listNews(e *Event) {
-	if e.Kind == ListLost {
-		d.watching = false
-		d.askAt = d.now + d.askWait
-		d.askWait = min(2*d.askWait, d.s.AskWithin/listSilence)
-		return
-	}
-	if e.Version < d.version {
-		return // late news must not bring a drained worker back
-	}
-	d.version = e.Version
-	if e.Kind == ListSnapshot {
-		for _, w := range d.workers {
-			if w != nil {
-				w.told = false
-			}
-		}
-	}
-	for i := range e.Workers {
-		d.entry(&e.Workers[i])
-	}
-	d.ready = d.ready[:0]
-	d.near = d.near[:0]
-	for _, w := range d.workers {
-		if w != nil && w.told && w.State == Ready {
-			d.ready = append(d.ready, w)
-			if w.Zone == d.s.Zone {
-				d.near = append(d.near, w)
-			}
-		}
-	}
-	if d.s.ListOnRequest && e.Stale {
-		d.ask()
-	} else if !e.Stale {
-		d.askWait, d.askAt = watchRetry, never
-	}
-	d.rehome()
-}
-
-func (d *Dispatcher) entry(n *Worker) {
-	for int(n.ID) >= len(d.workers) {
-		d.workers = append(d.workers, nil)
-	}
-	w := d.workers[n.ID]
-	if w == nil {
-		w = &worker{Worker: *n, room: d.meanRoom(), pace: d.pace}
-		d.workers[n.ID] = w
-	}
-	if n.StartedAt > w.StartedAt { // it restarted: cold, and what it was doing is lost
-		w.coldSpent, w.coldAt, w.fails, w.pace = 0, d.now, 0, d.pace
-		w.sign()
-	}
-	w.Worker, w.told = *n, n.State != Gone
-}
-
-func (d *Dispatcher) meanRoom() float64 {
+// welcome sets what is believed of a worker that is new or has restarted.
+func (d *Dispatcher) welcome(w *worker) {
+	w.room, w.pace, w.fails, w.coldSpent, w.coldAt = roomStart, d.pace, 0, 0, d.now
+	w.sign()
 	sum := 0.0
-	for _, w := range d.ready {
-		sum += w.room
+	for _, p := range d.ready {
+		sum += p.room
 	}
-	if len(d.ready) == 0 {
-		return roomStart
+	if len(d.ready) > 0 {
+		w.room = sum / float64(len(d.ready))
 	}
-	return sum / float64(len(d.ready))
 }
 
-// rehome moves entries off workers that drain or are gone.
-func (d *Dispatcher) rehome() {
+// listNews moves entries off workers that drain or are gone, and sees to the watch.
+func (d *Dispatcher) listNews(e *Event) {
+	d.askWait, d.askAt = askAgain, never
+	if d.s.ListOnRequest && e.Stale {
+		d.ask()
+	}
 	for _, w := range d.workers {
 		if w == nil || w.told && w.State == Ready {
 			continue
 		}
-		for b := range bands {
+		for b := range w.lists {
 			for _, en := range w.lists[b].items[w.lists[b].head:] {
-				if p := d.pick(en.j); en.live() && p != nil {
+				if p := d.pick(); p != nil && en.live() {
 					p.lists[b].push(en.j)
 				}
 			}
 			w.lists[b] = queue{}
 		}
 	}
-	for _, w := range d.ready {
-		d.serve(w)
-	}
+	d.serveAll()
+}
+
+// listLost keeps the last list and asks again, less and less often but in time for rule three.
+func (d *Dispatcher) listLost() {
+	d.askAt = d.now + d.askWait
+	d.askWait = min(2*d.askWait, d.s.AskWithin/askTimes)
 }
 
 func (d *Dispatcher) ask() {
-	d.askAt = d.now + d.s.AskWithin/listSilence // the answer may be lost too
+	d.askAt = d.now + d.s.AskWithin/askTimes // the answer may get lost too
 	d.emit(Action{Kind: WatchList})
 }
--- a/rules/state.go
+++ b/rules/state.go
@@ -7,10 +7,11 @@
 	"math/rand/v2"
 )
 
-// What a dispatcher keeps, and the containers it keeps it in. Nothing here decides.
+// What a dispatcher remembers, and how events reach the decisions. Nothing here decides: see rules.go.
 
 const never = Time(math.MaxInt64 / 4)
 
+// The bands of held work.
 const (
 	onTime = iota // can still earn its full worth
 	behind        // late, or beyond its tenant's share: waits behind all of the above
@@ -31,9 +32,9 @@
 type job struct {
 	id       RequestID
 	class    *classState
-	tenant   int
-	need     float64 // slots, or memory units if that is more
-	work     Time    // expected, on a standard core
+	tenant   *tenantState // nil: none
+	need     float64      // slots, or memory units if that is more
+	work     Time         // expected, on a standard core; 0: not told
 	landed   Time
 	end      Time // the last moment for an answer
 	aimAt    Time
@@ -45,11 +46,6 @@
 	attempts []attempt
 }
 
-type classState struct {
-	Class
-	run float64 // mean run time, microseconds, where jobs carry no hint
-}
-
 func (j *job) isOut() bool {
 	for i := range j.attempts {
 		if j.attempts[i].out {
@@ -59,6 +55,20 @@
 	return false
 }
 
+func (j *job) mayHaveRun() bool {
+	for i := range j.attempts {
+		if !j.attempts[i].neverRan {
+			return true
+		}
+	}
+	return false
+}
+
+type classState struct {
+	Class
+	run float64 // mean run time, microseconds
+}
+
 type tenantState struct {
 	Tenant
 	left float64 // requests within the share
@@ -67,19 +77,20 @@
 
 type worker struct {
 	Worker
-	told      bool // on the list
-	room      float64
+	told      bool    // on the list
+	room      float64 // slots; below 1: one job at a time, with pauses
 	use       float64 // our slots in flight
 	running   float64 // our slots that have started
 	peak      float64 // most of running ever
 	lists     [bands]queue
+	openAt    Time // end of a pause
 	base      Time // quickest start
 	pace      float64
 	fails     float64
 	distrust  bool
-	stalled   bool
+	silent    bool
 	trialAt   Time
-	gap       Time    // between trials of a worker that gives no sign
+	gap       Time    // between trials
 	coldSpent float64 // microseconds of work sent while cold and not yet drained from the budget
 	coldAt    Time
 }
@@ -114,7 +125,6 @@
 	version  uint64
 	askAt    Time // when to ask for the list again
 	askWait  Time
-	watching bool
 }
 
 // New returns a dispatcher that knows no worker yet. The same settings, seed and events give the same actions.
@@ -123,7 +133,7 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	d := &Dispatcher{s: s, rng: rand.New(rand.NewPCG(seed, 1)), armedAt: never, sweepAt: never, askAt: never,
-		askWait: watchRetry, pace: 1, best: 1, extra: extraMost}
+		askWait: askAgain, pace: 1, best: 1, extra: extraMost}
 	for _, c := range s.Classes {
 		d.meanWork = max(d.meanWork, float64(c.Aim))
 		d.classes = append(d.classes, classState{Class: c, run: float64(c.Aim)})
@@ -144,20 +154,196 @@
 		if c.Kind < -1 || c.Kind >= s.Kinds {
 			return fmt.Errorf("Classes[%d].Kind: %d is out of range", i, c.Kind)
 		}
-		if c.Aim < 0 || c.Deadline <= 0 || c.Window < 0 || c.Stretch < 0 {
-			return fmt.Errorf("Classes[%d]: Aim, Stretch, Deadline or Window is negative or missing", i)
+		if c.Effect > Unsafe || c.Group > GroupCell {
+			return fmt.Errorf("Classes[%d].Effect or Group: out of range", i)
+		}
+		if c.Aim < 0 || c.Deadline <= 0 || c.Window < 0 || !(c.Stretch >= 0) || !(c.LateWorth >= 0) {
+			return fmt.Errorf("Classes[%d].Aim, Deadline, Window, Stretch or LateWorth: negative or missing", i)
 		}
 	}
+	for i, t := range s.Tenants {
+		if !(t.Quota >= 0) {
+			return fmt.Errorf("Tenants[%d].Quota: %v is negative", i, t.Quota)
+		}
+	}
+	if s.Zone < -1 || s.Zone >= s.Zones {
+		return fmt.Errorf("Zone: %d is out of range", s.Zone)
+	}
 	if s.GroupSize < 1 || s.MaxAttempts < 1 {
-		return errors.New("GroupSize, MaxAttempts: must be 1 or more")
+		return errors.New("GroupSize or MaxAttempts: less than 1")
+	}
+	for _, t := range []struct {
+		name string
+		t    Time
+	}{{"Tick", s.Tick}, {"MaxRetryAfter", s.MaxRetryAfter}, {"ConnectTimeout", s.ConnectTimeout},
+		{"Progress", s.Progress}, {"AskWithin", s.AskWithin}, {"DrainGrace", s.DrainGrace},
+		{"WarmWithin", s.WarmWithin}, {"FallWindow", s.FallWindow}} {
+		if t.t < 0 {
+			return fmt.Errorf("%s: %d is negative", t.name, t.t)
+		}
+	}
+	if !(s.ColdFrom >= 0) || !(s.FallMultiple >= 0) || !(s.PriceCross >= 0) || !(s.OverShareWorth >= 0) {
+		return errors.New("ColdFrom, FallMultiple, PriceCross or OverShareWorth: negative")
 	}
-	if s.Tick < 0 || s.DrainGrace < 0 || s.WarmWithin < 0 || s.FallWindow < 0 || s.AskWithin < 0 || s.Progress < 0 {
-		return errors.New("Tick, DrainGrace, WarmWithin, FallWindow, AskWithin or Progress is negative")
+	return nil
+}
+
+// Handle decides on one event and appends what is to be done to out.
+func (d *Dispatcher) Handle(now Time, e *Event, out []Action) []Action {
+	d.now, d.out = max(now, d.now), out
+	j := d.job(e.Request)
+	switch e.Kind {
+	case ListSnapshot, ListChange:
+		if d.updateList(e) {
+			d.listNews(e)
+		}
+	case ListLost:
+		d.listLost()
+	case Arrived:
+		if j == nil && e.Class >= 0 && e.Class < len(d.classes) {
+			d.land(d.newJob(e), e.Retry)
+		}
+	case Started, Progressed, AnswerBegan, Ended:
+		if j != nil && e.Attempt >= 0 && e.Attempt < len(j.attempts) && j.attempts[e.Attempt].out {
+			d.attemptNews(j, &j.attempts[e.Attempt], e)
+		}
+	case ClientGone:
+		if j != nil && j.open {
+			d.close(j)
+		}
+	case TimerFired:
+		if d.armedAt <= d.now {
+			d.armedAt = never
+		}
+	}
+	d.runTimers()
+	out, d.out = d.out, nil
+	return out
+}
+
+func (d *Dispatcher) emit(a Action) { d.out = append(d.out, a) }
+
+func (d *Dispatcher) job(id RequestID) *job {
+	if int(id) < len(d.jobs) {
+		return d.jobs[id]
 	}
 	return nil
 }
 
-// entry is a job's place in a held list. It lives as long as the job is held under the same ticket.
+func (d *Dispatcher) newJob(e *Event) *job {
+	j := &job{}
+	if n := len(d.pool); n > 0 {
+		j, d.pool = d.pool[n-1], d.pool[:n-1]
+	}
+	*j = job{id: e.Request, class: &d.classes[e.Class], need: max(float64(e.Slots), e.Memory, 1), work: e.Work,
+		landed: d.now, end: d.now + e.Left - d.s.Tick, open: true, attempts: j.attempts[:0]}
+	if e.Tenant >= 0 && e.Tenant < len(d.tenants) {
+		j.tenant = &d.tenants[e.Tenant]
+	}
+	gone := max(0, j.class.Deadline-e.Left) // earlier tries of the client have used this much of the aim
+	j.aimAt = min(d.now-gone+j.class.Aim+Time(j.class.Stretch*d.expect(j)), j.end)
+	for int(e.Request) >= len(d.jobs) {
+		d.jobs = append(d.jobs, nil)
+	}
+	d.jobs[e.Request] = j
+	return j
+}
+
+// close ends a job that owes no answer any more. Its attempts that are out still hold their slots.
+func (d *Dispatcher) close(j *job) {
+	d.unhold(j)
+	j.open = false
+	d.forget(j)
+}
+
+func (d *Dispatcher) forget(j *job) {
+	if !j.isOut() {
+		d.jobs[j.id] = nil
+		j.timer = 0
+		d.pool = append(d.pool, j)
+	}
+}
+
+// setTimer replaces a job's timer.
+func (d *Dispatcher) setTimer(j *job, at Time) {
+	d.serial++
+	j.timer = d.serial
+	d.timers.push(timer{at: max(at, d.now), j: j, serial: j.timer})
+}
+
+// runTimers does all that is due and asks for a timer for the next.
+func (d *Dispatcher) runTimers() {
+	for len(d.timers) > 0 && d.timers[0].at <= d.now {
+		if t := d.timers.pop(); t.j.timer == t.serial {
+			d.review(t.j)
+		}
+	}
+	if d.now >= d.askAt {
+		d.ask()
+	}
+	if d.now >= d.sweepAt {
+		d.sweepAt = never
+		d.serveAll()
+	}
+	if d.sweepAt == never && d.waiting[onTime]+d.waiting[behind] > 0 {
+		d.sweepAt = d.now + sweepEvery
+	}
+	next := min(d.sweepAt, d.askAt)
+	if len(d.timers) > 0 {
+		next = min(next, d.timers[0].at)
+	}
+	if next < d.armedAt {
+		d.armedAt = max(next, d.now+d.s.Tick)
+		d.emit(Action{Kind: SetTimer, Wait: d.armedAt - d.now})
+	}
+}
+
+// updateList takes over the list's news; it reports false for news older than what is known.
+func (d *Dispatcher) updateList(e *Event) bool {
+	if e.Version < d.version {
+		return false // guards against late news that would bring a drained worker back
+	}
+	d.version = e.Version
+	if e.Kind == ListSnapshot {
+		for _, w := range d.workers {
+			if w != nil {
+				w.told = false
+			}
+		}
+	}
+	for i := range e.Workers {
+		d.entry(&e.Workers[i])
+	}
+	d.ready, d.near = d.ready[:0], d.near[:0]
+	for _, w := range d.workers {
+		if w == nil || !w.told || w.State != Ready {
+			continue
+		}
+		d.ready = append(d.ready, w)
+		if w.Zone == d.s.Zone {
+			d.near = append(d.near, w)
+		}
+	}
+	return true
+}
+
+func (d *Dispatcher) entry(n *Worker) {
+	for int(n.ID) >= len(d.workers) {
+		d.workers = append(d.workers, nil)
+	}
+	w := d.workers[n.ID]
+	if w == nil {
+		w = &worker{Worker: *n}
+		d.workers[n.ID] = w
+		d.welcome(w)
+	} else if n.StartedAt > w.StartedAt {
+		d.welcome(w)
+	}
+	w.Worker, w.told = *n, n.State != Gone
+}
+
+// held lists: entries live as long as their job is held under the same ticket.
+
 type entry struct {
 	j      *job
 	ticket uint64
