--- a/rules/rules.go
+++ b/rules/rules.go
@@ -13,6 +13,7 @@
 	roomStart  = 2.0               // slots; every dispatcher takes this of a worker whose size nobody knows
 	roomStep   = 1.0               // slots of room for each slot of success at the room
 	roomFloor  = 1.0 / 8           // slots; a job now and then keeps a worker's notes coming
+	pauseCut   = 0.75              // factor on a room of one job that queued behind others
 	queueSlack = 40 * Millisecond  // a start later than four of the quickest (a new connection) and this: a queue
 	stallSlack = 400 * Millisecond // a progress note later than this is no pause: the worker stands still
 	failWeight = 0.2               // weight of the newest outcome in a worker's share of failures
@@ -487,12 +488,12 @@
 }
 
 // cut guards against a queue at the worker, where jobs wait out of our reach: its room becomes what runs there of ours.
-// If that is nothing, others fill the worker, and we send one job at a time with pauses that double.
+// If that is nothing, others fill the worker, and we send one job at a time with longer and longer pauses.
 func (w *worker) cut() {
 	if w.running >= 1 {
 		w.room = min(w.room, w.running)
 	} else {
-		w.room = max(roomFloor, min(w.room, 1)/2)
+		w.room = max(roomFloor, min(w.room, 1)*pauseCut)
 	}
 }
 
