--- a/rules/rules.go
+++ b/rules/rules.go
@@ -100,11 +100,6 @@
 	return true
 }
 
-func sameGroup(g Group, a, b *worker) bool {
-	return g == GroupAll || g == GroupZone && a.Zone >= 0 && a.Zone == b.Zone ||
-		g == GroupCell && a.Cell >= 0 && a.Cell == b.Cell
-}
-
 // warmth is the share of its capacity that a worker has at the least.
 func (d *Dispatcher) warmth(w *worker) float64 {
 	age := max(0, d.now-w.StartedAt)
@@ -233,14 +228,6 @@
 	}
 }
 
-// unhold deletes a job's entries in all lists: entries of another ticket than the job's are dead.
-func (d *Dispatcher) unhold(j *job) {
-	if j.ticket != 0 {
-		j.ticket = 0
-		d.waiting[j.band] -= j.need
-	}
-}
-
 // pick draws a random ready worker, in the own zone if it has one and crossings have a price.
 func (d *Dispatcher) pick() *worker {
 	from := d.ready
@@ -324,12 +311,6 @@
 	}
 }
 
-func (d *Dispatcher) serveAll() {
-	for _, w := range d.ready {
-		d.serve(w)
-	}
-}
-
 // take sends the oldest job of a list that fits.
 func (d *Dispatcher) take(w *worker, q *queue, band int, age Time) bool {
 	q.trim()
@@ -442,22 +423,13 @@
 
 // ---- What workers tell, and how they are judged by it.
 
-func (d *Dispatcher) attemptNews(j *job, a *attempt, e *Event) {
-	switch e.Kind {
-	case Started:
-		d.started(j, a)
-	case Progressed:
-		a.noteAt, a.stalled = d.now, false
-		a.w.sign()
-		if run := float64(d.now - a.startedAt); a.startedAt > 0 && e.Done > 0.02 && j.work > 0 {
-			d.learnPace(a.w, max(a.w.pace, run/e.Done/d.expect(j)), paceWeight/2)
-		}
-		d.schedule(j)
-	case AnswerBegan:
-		a.noteAt, j.end = d.now, never
-	case Ended:
-		d.ended(j, a, e)
+func (d *Dispatcher) progressed(j *job, a *attempt, e *Event) {
+	a.noteAt, a.stalled = d.now, false
+	a.w.sign()
+	if run := float64(d.now - a.startedAt); a.startedAt > 0 && e.Done > 0.02 && j.work > 0 {
+		d.learnPace(a.w, max(a.w.pace, run/e.Done/d.expect(j)), paceWeight/2)
 	}
+	d.schedule(j)
 }
 
 // startBy is how long after its send a job has started if nothing waits at the worker.
@@ -469,9 +441,6 @@
 }
 
 func (d *Dispatcher) started(j *job, a *attempt) {
-	if a.startedAt > 0 {
-		return
-	}
 	w, delay := a.w, max(1, d.now-a.sentAt)
 	a.startedAt, a.noteAt = d.now, d.now
 	w.sign()
@@ -571,17 +540,11 @@
 	}
 }
 
-func (w *worker) sign() { w.silent, w.gap = false, 0 }
-
 // trust marks workers that fail far more than their peers, at most a third of the ready ones: a trouble that all share
 // is no worker's fault.
 func (d *Dispatcher) trust() {
-	sum, most := 0.0, len(d.ready)/3
+	sum, most := d.sum(func(p *worker) float64 { return p.fails }), len(d.ready)/3
 	d.best = d.pace
-	for _, w := range d.ready {
-		sum += w.fails
-		d.best = min(d.best, w.pace)
-	}
 	for _, w := range d.ready {
 		peers := (sum - w.fails) / max(1, float64(len(d.ready)-1))
 		bad := w.fails > 2*peers+failMargin && most > 0
@@ -592,6 +555,7 @@
 			w.trialAt = d.now + trialGap
 		}
 		w.distrust = bad
+		d.best = min(d.best, w.pace)
 	}
 }
 
@@ -601,12 +565,8 @@
 func (d *Dispatcher) welcome(w *worker) {
 	w.room, w.pace, w.fails, w.coldSpent, w.coldAt = roomStart, d.pace, 0, 0, d.now
 	w.sign()
-	sum := 0.0
-	for _, p := range d.ready {
-		sum += p.room
-	}
 	if len(d.ready) > 0 {
-		w.room = sum / float64(len(d.ready))
+		w.room = d.sum(func(p *worker) float64 { return p.room }) / float64(len(d.ready))
 	}
 }
 
@@ -616,19 +576,7 @@
 	if d.s.ListOnRequest && e.Stale {
 		d.ask()
 	}
-	for _, w := range d.workers {
-		if w == nil || w.told && w.State == Ready {
-			continue
-		}
-		for b := range w.lists {
-			for _, en := range w.lists[b].items[w.lists[b].head:] {
-				if p := d.pick(); p != nil && en.live() {
-					p.lists[b].push(en.j)
-				}
-			}
-			w.lists[b] = queue{}
-		}
-	}
+	d.moveEntries()
 	d.serveAll()
 }
 
--- a/rules/state.go
+++ b/rules/state.go
@@ -95,6 +95,15 @@
 	coldAt    Time
 }
 
+// sign takes a worker's sign of life.
+func (w *worker) sign() { w.silent, w.gap = false, 0 }
+
+// sameGroup says whether two workers drop repeats of each other's jobs.
+func sameGroup(g Group, a, b *worker) bool {
+	return g == GroupAll || g == GroupZone && a.Zone >= 0 && a.Zone == b.Zone ||
+		g == GroupCell && a.Cell >= 0 && a.Cell == b.Cell
+}
+
 // Dispatcher decides for one submitter. It is not safe for use by several goroutines at once.
 type Dispatcher struct {
 	s        Settings
@@ -249,6 +258,19 @@
 	return j
 }
 
+func (d *Dispatcher) attemptNews(j *job, a *attempt, e *Event) {
+	switch {
+	case e.Kind == Started && a.startedAt == 0:
+		d.started(j, a)
+	case e.Kind == Progressed:
+		d.progressed(j, a, e)
+	case e.Kind == AnswerBegan:
+		a.noteAt, j.end = d.now, never
+	case e.Kind == Ended:
+		d.ended(j, a, e)
+	}
+}
+
 // close ends a job that owes no answer any more. Its attempts that are out still hold their slots.
 func (d *Dispatcher) close(j *job) {
 	d.unhold(j)
@@ -264,6 +286,47 @@
 	}
 }
 
+// unhold deletes a job's entries in all lists: entries of another ticket than the job's are dead.
+func (d *Dispatcher) unhold(j *job) {
+	if j.ticket != 0 {
+		j.ticket = 0
+		d.waiting[j.band] -= j.need
+	}
+}
+
+// moveEntries gives each held job's entry at a worker that drains or is gone a new pick.
+func (d *Dispatcher) moveEntries() {
+	for _, w := range d.workers {
+		if w == nil || w.told && w.State == Ready {
+			continue
+		}
+		for b := range w.lists {
+			q := &w.lists[b]
+			for _, e := range q.items[q.head:] {
+				if p := d.pick(); p != nil && e.live() {
+					p.lists[b].push(e.j)
+				}
+			}
+			*q = queue{}
+		}
+	}
+}
+
+// sum adds up a figure of the ready workers.
+func (d *Dispatcher) sum(of func(*worker) float64) float64 {
+	total := 0.0
+	for _, w := range d.ready {
+		total += of(w)
+	}
+	return total
+}
+
+func (d *Dispatcher) serveAll() {
+	for _, w := range d.ready {
+		d.serve(w)
+	}
+}
+
 // setTimer replaces a job's timer.
 func (d *Dispatcher) setTimer(j *job, at Time) {
 	d.serial++
