--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -28,12 +28,12 @@
 	Handle(now rules.Time, e *rules.Event, out []rules.Action) []rules.Action
 }
 
-func start(s rules.Settings, seed uint64) (dispatcher, error) { return rules.New(s, seed) }
+func newDispatcher(s rules.Settings, seed uint64) (dispatcher, error) { return rules.New(s, seed) }
 
 func run(in io.Reader, out io.Writer) error {
 	h := host{
 		reader: simwire.NewReader(in), writer: simwire.NewWriter(out),
-		instances: map[int]dispatcher{}, start: start,
+		instances: map[int]dispatcher{}, start: newDispatcher,
 	}
 	for {
 		err := h.step()
--- /dev/null
+++ b/cmd/benchlink/main_test.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"birchfork/internal/simwire"
+	"birchfork/rules"
+)
+
+const start = "POWER_ON\t42\tclasses.count=1\tclasses.0.aim=0.4\tclasses.0.deadline=5\tclasses.0.effect=free\t" +
+	"classes.0.name=search\ttick=0.001\tpolicy_limits.attempts_cap=3\n"
+
+const list = "POOL\t0\t1\nROW\t10.0.0.1:7\t-\t-\t0\thealthy\t1\t-\nMEMBERSHIP\tstale_copy\t0\t1\n"
+
+const query = "QUERY\tr-1\t0\t-\tsearch\t-\t5\t-\t0\t0\t-\t1\n"
+
+func TestRunDecidesOverTheWire(t *testing.T) {
+	in := "BATCH\t1\nFLUSH\nBATCH\t2\nON\t4\n" + start + list + query + "FLUSH\n" +
+		"BATCH\t3\nON\t4\nCLOSED_ATTEMPT\tr-1\t0\t10.0.0.1:7\t0\t1\t1\t-\t-\nFLUSH\n"
+	var out bytes.Buffer
+	if err := run(strings.NewReader(in), &out); err != nil {
+		t.Fatal(err)
+	}
+	replies := strings.Split(out.String(), "EOR\n")
+	if len(replies) != 4 || replies[0] != "" || !strings.HasPrefix(replies[1], "BY\t4\nCALL_OUT\tr-1\t10.0.0.1:7\t0\n") {
+		t.Fatalf("replies %q", replies)
+	}
+}
+
+func TestRunNamesTheLine(t *testing.T) {
+	for _, c := range []struct{ name, in, want string }{
+		{"codec", "BATCH\t1\nON\tx\n", "line 2: ON: i"},
+		{"module", "BATCH\t1\nON\t0\nPOWER_ON\t1\tx=1\n", "line 3: settings of instance 0: settings: Classes"},
+	} {
+		err := run(strings.NewReader(c.in), &bytes.Buffer{})
+		if err == nil || !strings.HasPrefix(err.Error(), c.want) {
+			t.Errorf("%s: %v, want %q", c.name, err, c.want)
+		}
+	}
+}
+
+// faulty breaks at its first event.
+type faulty struct{}
+
+func (faulty) Handle(rules.Time, *rules.Event, []rules.Action) []rules.Action { panic("no such thing") }
+
+func TestPanicBecomesDie(t *testing.T) {
+	in := "BATCH\t2\nON\t4\n" + start + list + query + "FLUSH\n"
+	var out bytes.Buffer
+	h := host{reader: simwire.NewReader(strings.NewReader(in)), writer: simwire.NewWriter(&out),
+		instances: map[int]dispatcher{}, start: func(rules.Settings, uint64) (dispatcher, error) { return faulty{}, nil }}
+	for {
+		if err := h.step(); err != nil {
+			break
+		}
+	}
+	if want := "BY\t4\nDIE\tno such thing\nEOR\n"; out.String() != want {
+		t.Fatalf("got %q, want %q", out.String(), want)
+	}
+}
--- /dev/null
+++ b/internal/simwire/simwire_test.go
@@ -0,0 +1,271 @@
+package simwire
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"birchfork/rules"
+)
+
+const powerOn = "POWER_ON\t42\tclasses.count=2\tclasses.0.aim=0.4\tclasses.0.deadline=10.0\tclasses.0.effect=free\t" +
+	"classes.0.name=search\tclasses.1.deadline=5\tclasses.1.effect=guarded\tclasses.1.group=zone\tclasses.1.window=2.5\t" +
+	"classes.1.name=book\tcustomers.count=1\tcustomers.0.name=acme\tcustomers.0.quota_rps=14.0\t" +
+	"extra.class_stretch=1.75,2.0\textra.class_kind=-1,0\textra.report_x1=free_slots\textra.tells_start=true\t" +
+	"machine_types=big\tzones=a,b\tzone=b\ttick=0.002\tsafety.warm_within=24.0\tregistry_mode=subscribe\tnew.key=1\n"
+
+const pool = "POOL\t0\t2\nROW\t10.0.0.1:7\ta\tbig\t3\thealthy\t1.5\t-\nROW\t10.0.0.2:7\tb\tbig\t-\tcordoned\t1\t99.5\n"
+
+func batch(lines ...string) string {
+	return "BATCH\t100.5\nON\t0\n" + strings.Join(lines, "") + "FLUSH\n"
+}
+
+// readAll reads messages until the input ends or one is malformed. Events are copied.
+func readAll(in string) ([]Msg, *Reader, error) {
+	r := NewReader(strings.NewReader(in))
+	var out []Msg
+	for {
+		var m Msg
+		err := r.Read(&m)
+		if errors.Is(err, io.EOF) {
+			return out, r, nil
+		}
+		if err != nil {
+			return out, r, err
+		}
+		if m.Event != nil {
+			e := *m.Event
+			e.Workers = append([]rules.Worker(nil), e.Workers...)
+			m.Event = &e
+		}
+		out = append(out, m)
+	}
+}
+
+func TestReadsSettings(t *testing.T) {
+	msgs, _, err := readAll(batch(powerOn))
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := msgs[1]
+	s := m.Settings
+	if m.Kind != InstanceStart || m.Seed != 42 || len(s.Classes) != 2 || len(s.Tenants) != 1 || s.Zone != 1 || s.Zones != 2 {
+		t.Fatalf("got %+v", m)
+	}
+	c := s.Classes[1]
+	if c.Effect != rules.Keyed || c.Group != rules.GroupZone || c.Window != 2500*rules.Millisecond || c.Kind != 0 ||
+		c.Stretch != 2 || s.Classes[0].Kind != -1 || !s.ListOnRequest || s.Tick != 2*rules.Millisecond {
+		t.Fatalf("got %+v", s)
+	}
+}
+
+func TestReadsEvents(t *testing.T) {
+	q := "QUERY\tr-1\t1\tacme\tbook\t0.25\t4.5\t-\t0\t0\t1.5\t2\n"
+	for _, c := range []struct {
+		name  string
+		lines []string
+		want  rules.Event
+	}{
+		{"query", []string{q}, rules.Event{Kind: rules.Arrived, Class: 1, Work: 250 * rules.Millisecond, Retry: true,
+			Left: 4500 * rules.Millisecond, Slots: 2, Memory: 1.5}},
+		{"query without hint, tenant, slots", []string{"QUERY\tr-1\t0\t-\tsearch\t-\t4.5\t-\t-\t-\t-\t-\n"},
+			rules.Event{Kind: rules.Arrived, Tenant: -1, Left: 4500 * rules.Millisecond, Slots: 1}},
+		{"start", []string{pool, "MEMBERSHIP\twhole\t0\t7\n", q, "CHANGE\tr-1\t1\t10.0.0.2:7\t0\t-\n"},
+			rules.Event{Kind: rules.Started, Worker: 1, Tenant: -1}},
+		{"progress", []string{q, "CHANGE\tr-1\t2\tx:1\t1\t0.5\n"},
+			rules.Event{Kind: rules.Progressed, Attempt: 1, Done: 0.5, Tenant: -1}},
+		{"outcome with report", []string{q, "CLOSED_ATTEMPT\tr-1\t0\tx:1\t2\t0.0185\t0\t-\tx1:3,pending:4.5,new:1\n"},
+			rules.Event{Kind: rules.Ended, Result: rules.Full, Elapsed: 18500, Tenant: -1,
+				Report: rules.Report{Known: true, FreeSlots: 3, Queue: 4.5}}},
+		{"unknown outcome", []string{q, "CLOSED_ATTEMPT\tr-1\t0\tx:1\t77\t1\t0\t-\t-\n"},
+			rules.Event{Kind: rules.Ended, Result: rules.UnknownResult, Elapsed: rules.Second, Tenant: -1,
+				Report: rules.Report{FreeSlots: -1, Queue: -1}}},
+		{"stream", []string{q, "FIRST_BYTE\tr-1\t0\t0.5\tx:1\n"},
+			rules.Event{Kind: rules.AnswerBegan, Elapsed: 500 * rules.Millisecond, Tenant: -1}},
+		{"probe", []string{"PROBE_DONE\t0.5\t0\tx:1\t-\n"}, rules.Event{Kind: rules.Probed,
+			Elapsed: 500 * rules.Millisecond, Tenant: -1, Report: rules.Report{FreeSlots: -1, Queue: -1}}},
+		{"gone", []string{q, "GONE\tr-1\n"}, rules.Event{Kind: rules.ClientGone, Tenant: -1}},
+		{"timer", []string{"WAKEUP\tsweep\n"}, rules.Event{Kind: rules.TimerFired, Tenant: -1}},
+		{"list lost", []string{"MEMBERSHIP\tbroken\t0\t9\n"}, rules.Event{Kind: rules.ListLost, Version: 9, Tenant: -1}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			msgs, _, err := readAll(batch(append([]string{powerOn}, c.lines...)...))
+			if err != nil {
+				t.Fatal(err)
+			}
+			got := *msgs[len(msgs)-2].Event
+			if len(got.Workers) != 0 {
+				t.Fatalf("workers %v", got.Workers)
+			}
+			got.Workers = nil
+			if !equal(got, c.want) {
+				t.Fatalf("got  %+v\nwant %+v", got, c.want)
+			}
+		})
+	}
+}
+
+func equal(a, b rules.Event) bool {
+	return a.Kind == b.Kind && a.Request == b.Request && a.Attempt == b.Attempt && a.Worker == b.Worker &&
+		a.Result == b.Result && a.Final == b.Final && a.Elapsed == b.Elapsed && a.Done == b.Done && a.Class == b.Class &&
+		a.Tenant == b.Tenant && a.Work == b.Work && a.Left == b.Left && a.Slots == b.Slots && a.Memory == b.Memory &&
+		a.Retry == b.Retry && a.Version == b.Version && a.Stale == b.Stale && a.Report == b.Report
+}
+
+func TestListsAreResolvedInEventOrder(t *testing.T) {
+	second := "POOL\t0\t1\nROW\t10.0.0.3:7\tb\tnew-kind\t1\tderegistered\t1\t-\n"
+	msgs, _, err := readAll(batch(powerOn, pool, "MEMBERSHIP\tstale_copy\t0\t3\n", second, "MEMBERSHIP\tpatch\t0\t4\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, next := msgs[2].Event, msgs[3].Event
+	if first.Kind != rules.ListSnapshot || !first.Stale || first.Version != 3 || len(first.Workers) != 2 {
+		t.Fatalf("first list: %+v", first)
+	}
+	w := first.Workers[1]
+	if w.ID != 1 || w.Zone != 1 || w.Cell != -1 || w.State != rules.Draining || w.StartedAt != 99500*rules.Millisecond {
+		t.Fatalf("worker %+v", w)
+	}
+	if next.Kind != rules.ListChange || len(next.Workers) != 1 || next.Workers[0].ID != 2 ||
+		next.Workers[0].Kind != -1 || next.Workers[0].State != rules.Gone {
+		t.Fatalf("second list: %+v", next)
+	}
+}
+
+func TestWritesActions(t *testing.T) {
+	msgs, r, err := readAll(batch(powerOn, pool, "MEMBERSHIP\twhole\t0\t7\n",
+		"QUERY\tr-1\t0\tacme\tsearch\t-\t1\t-\t0\t0\t-\t1\n", "QUERY\tr-2\t0\tacme\tsearch\t-\t1\t-\t0\t0\t-\t1\n"))
+	if err != nil || len(msgs) == 0 {
+		t.Fatal(err)
+	}
+	var out bytes.Buffer
+	w := NewWriter(&out)
+	n := r.Names(0)
+	err = w.Actions(0, n, []rules.Action{
+		{Kind: rules.Send, Request: 0, Worker: 1, Wait: 80 * rules.Millisecond},
+		{Kind: rules.Cancel, Request: 0},
+		{Kind: rules.Refuse, Request: 0, Wait: 1234567},
+		{Kind: rules.GiveUp, Request: 1},
+		{Kind: rules.SetTimer, Wait: 500},
+		{Kind: rules.WatchList}, {Kind: rules.FetchList}, {Kind: rules.Probe, Worker: 0},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Die(3, "it\nbroke")
+	if err := w.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	want := "BY\t0\nCALL_OUT\tr-1\t10.0.0.2:7\t0.08\nRETRACT\tr-1\t0\nREFUSE\tr-1\t1.234567\nGIVE_UP\tr-2\n" +
+		"ARM\tt\t0.0005\nWATCH\t1\nLOOKUP\nPROBE\t10.0.0.1:7\nBY\t3\nDIE\tit broke\nEOR\n"
+	if out.String() != want {
+		t.Fatalf("got\n%swant\n%s", out.String(), want)
+	}
+	if err := w.Actions(0, n, []rules.Action{{Kind: 99}}); err == nil {
+		t.Fatal("an unknown action passed")
+	}
+}
+
+func TestTimesRoundTrip(t *testing.T) {
+	for _, us := range []rules.Time{0, 1, 10, 999999, 1000000, 1000001, 123456789, 457526232643} {
+		got, ok := parseNumber(appendTime(nil, us))
+		if !ok || seconds(got) != us {
+			t.Errorf("%d us: written %s, read %v", us, appendTime(nil, us), got)
+		}
+	}
+}
+
+// A request id is used again only when nothing can name the old request any more.
+func TestRequestIDsAreReusedAfterTheLastAttempt(t *testing.T) {
+	n := newNames()
+	a, _ := n.openRequest([]byte("a"))
+	n.noteSend(a)
+	n.noteFinal(a)
+	if b, _ := n.openRequest([]byte("b")); b == a {
+		t.Fatal("the id was reused with an attempt out")
+	}
+	n.noteEnd(a, true)
+	if c, _ := n.openRequest([]byte("c")); c != a {
+		t.Fatalf("id %d, want %d again", c, a)
+	}
+	if _, err := n.openRequest([]byte("c")); err == nil {
+		t.Fatal("one request opened twice")
+	}
+}
+
+func TestMalformedInput(t *testing.T) {
+	q := "QUERY\tr-1\t0\tacme\tsearch\t-\t1\t-\t0\t0\t-\t1\n"
+	for _, c := range []struct {
+		name, in string
+		line     int
+		say      string
+	}{
+		{"outside a batch", "ON\t0\n", 1, "outside a batch"},
+		{"unknown message", batch("WHAT\t1\n"), 3, "no instance|not started|unknown"},
+		{"unknown message of a started one", batch(powerOn, "WHAT\t1\n"), 4, "unknown"},
+		{"no instance", "BATCH\t1\nWAKEUP\tx\nFLUSH\n", 2, "no instance"},
+		{"not started", batch("WAKEUP\tx\n"), 3, "not started"},
+		{"started twice", batch(powerOn, powerOn), 4, "runs already"},
+		{"truncated", "BATCH\t1\nON\t0\n", 2, "ended inside a batch"},
+		{"truncated pool", "BATCH\t1\nPOOL\t0\t3\nROW\ta\tb\tc\t1\thealthy\t1\t-\n", 3, "ended inside a pool"},
+		{"batch in a batch", "BATCH\t1\nBATCH\t2\n", 2, "has not ended"},
+		{"bad clock", "BATCH\tsoon\n", 1, "clock"},
+		{"clock out of range", "BATCH\t1e300\n", 1, "out of range"},
+		{"infinite clock", "BATCH\tInf\n", 1, "clock"},
+		{"bad seed", batch("POWER_ON\tx\ta=1\n"), 3, "prng"},
+		{"bad setting", batch("POWER_ON\t1\tclasses.count=many\n"), 3, "classes.count"},
+		{"huge count", batch("POWER_ON\t1\tclasses.count=999999999\n"), 3, "classes.count"},
+		{"no pair", batch("POWER_ON\t1\tnonsense\n"), 3, "path=value"},
+		{"bad flag", batch("POWER_ON\t1\textra.tells_start=maybe\n"), 3, "extra.tells_start"},
+		{"bad effect", batch("POWER_ON\t1\tclasses.count=1\tclasses.0.effect=odd\n"), 3, "classes.0.effect"},
+		{"unknown list", batch(powerOn, "MEMBERSHIP\twhole\t5\t1\n"), 4, "list 5"},
+		{"list number", batch(powerOn, "MEMBERSHIP\twhole\t16\t1\n"), 4, "page"},
+		{"membership mode", batch(powerOn, pool, "MEMBERSHIP\tnew\t0\t1\n"), 7, "mode"},
+		{"worker mode", "BATCH\t1\nPOOL\t0\t1\nROW\ta\tb\tc\t1\tasleep\t1\t-\n", 3, "asleep"},
+		{"pool line", "BATCH\t1\nPOOL\t0\t1\nFLUSH\n", 3, "ROW is due"},
+		{"missing value", batch(powerOn, "QUERY\tr-1\t0\n"), 4, "missing"},
+		{"surplus value", batch(powerOn, "WAKEUP\tx\ty\n"), 4, "more values"},
+		{"unknown class", batch(powerOn, strings.Replace(q, "search", "nap", 1)), 4, "nap"},
+		{"unknown tenant", batch(powerOn, strings.Replace(q, "acme", "emca", 1)), 4, "emca"},
+		{"request twice", batch(powerOn, q, q), 5, "open already"},
+		{"negative time", batch(powerOn, strings.Replace(q, "\t1\t-\t0", "\t-5\t-\t0", 1)), 4, "left"},
+		{"bad report", batch(powerOn, q, "CLOSED_ATTEMPT\tr-1\t0\tx:1\t0\t1\t1\t-\tx0=4\n"), 5, "server_stats"},
+		{"empty line", batch(powerOn, "\n"), 4, "unknown"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, r, err := readAll(c.in)
+			if err == nil {
+				t.Fatal("no error")
+			}
+			found := false
+			for _, say := range strings.Split(c.say, "|") {
+				found = found || strings.Contains(err.Error(), say)
+			}
+			if !found || r.Line() != c.line {
+				t.Fatalf("line %d: %v; want line %d and %q", r.Line(), err, c.line, c.say)
+			}
+		})
+	}
+}
+
+func TestCrashForgetsTheInstance(t *testing.T) {
+	msgs, r, err := readAll(batch(powerOn, "CRASH_NOW\n", powerOn))
+	if err != nil || len(msgs) != 5 || msgs[2].Kind != InstanceStop || r.Names(0) == nil {
+		t.Fatalf("%v %v", msgs, err)
+	}
+}
+
+func FuzzReader(f *testing.F) {
+	f.Add(batch(powerOn, pool, "MEMBERSHIP\twhole\t0\t7\n", "QUERY\tr-1\t0\tacme\tsearch\t-\t1\t-\t0\t0\t-\t1\n",
+		"CLOSED_ATTEMPT\tr-1\t0\tx:1\t0\t1\t1\t-\tx1:4\n", "GONE\tr-1\n"))
+	f.Add("BATCH\t1\nFLUSH\n")
+	f.Add("BATCH\t-\nPOOL\t0\t0\nON\t-1\n")
+	f.Fuzz(func(t *testing.T, in string) {
+		_, r, err := readAll(in) // must neither panic nor hang
+		if err != nil && (err.Error() == "" || r.Line() > strings.Count(in, "\n")+1) {
+			t.Fatalf("line %d: %v", r.Line(), err)
+		}
+	})
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -1,5 +1,5 @@
-// Every decision of the dispatcher. Its interface (settings, events, actions) stands in rules/interface.go, what it
-// remembers in rules/state.go; docs/design.md tells why, and when each exception to the design acts.
+// Every decision of the dispatcher. Its interface (settings, events, actions) stands in rules/interface.go,
+// what it remembers in rules/state.go; docs/design.md tells why, and when each exception to the design acts.
 
 package rules
 
@@ -9,15 +9,15 @@
 const (
 	pickCount  = 2                 // held lists that a job joins at its landing: the paper's d
 	joinTick   = 10 * Millisecond  // no room for this long: further workers join the picks
-	crossWait  = 2 * Second / 10   // longer wait, times the price of a crossing, before ones of other zones do
+	crossWait  = 2 * Second / 10   // longer wait, times the price of a crossing, before other zones do
 	roomStart  = 2.0               // slots; every dispatcher takes this of a worker whose size nobody knows
 	roomStep   = 1.0               // slots of room for each slot of success at the room
 	roomFloor  = 1.0 / 8           // slots; a job now and then keeps a worker's notes coming
 	pauseCut   = 0.75              // factor on a room of one job that queued behind others
-	queueSlack = 40 * Millisecond  // a start later than four of the quickest (a new connection) and this: a queue
+	queueSlack = 40 * Millisecond  // a start this far past four of the quickest (new connection): a queue
 	stallSlack = 400 * Millisecond // a progress note later than this is no pause: the worker stands still
 	failWeight = 0.2               // weight of the newest outcome in a worker's share of failures
-	failMargin = 0.25              // share of failures, above twice the peers', that makes a worker distrusted
+	failMargin = 0.25              // share of failures above twice the peers': distrust
 	trialGap   = 500 * Millisecond // between the first trials of a worker that is distrusted or silent
 	trialMost  = 4 * Second        // between its trials at the most: they double
 	paceWeight = 0.2               // weight of the newest run in a worker's pace
@@ -35,7 +35,7 @@
 	askTimes   = 3                 // asks within AskWithin at the least while there is no answer
 )
 
-// ---- The choke point: every send and every final answer goes through send and finish, which keep the four rules.
+// ---- The choke point: every send passes send, every final answer finish. They keep the four rules.
 
 // maySend says whether the rules allow an attempt now. It does not look at room.
 func (d *Dispatcher) maySend(j *job, w *worker) bool {
@@ -54,7 +54,7 @@
 	w.use += j.need
 	d.inUse += j.need
 	if d.warmth(w) < 1 {
-		w.coldSpent += d.wear(j)
+		w.coldLog = append(w.coldLog, wearAt{d.now, d.wear(j, w)})
 	}
 	if w.distrust || w.silent {
 		w.gap = min(max(2*w.gap, trialGap), trialMost)
@@ -109,27 +109,36 @@
 	return d.s.ColdFrom + (1-d.s.ColdFrom)*float64(age)/float64(d.s.WarmWithin)
 }
 
-// coldBears keeps a cold worker within our part of what it bears, as if the whole group sent alike.
+// coldBears keeps what a cold worker gets in a window within our part of what it bears, as if all sent alike.
 func (d *Dispatcher) coldBears(j *job, w *worker) bool {
 	warmth := d.warmth(w)
 	if warmth >= 1 {
 		return true
 	}
-	size := 1.0 // slots: what we have seen run at once on a worker of its kind, never more than it has
+	size, _ := d.kindOf(w)
+	sent := d.wear(j, w)
+	for len(w.coldLog) > 0 && w.coldLog[0].at+d.s.FallWindow < d.now {
+		w.coldLog = w.coldLog[1:]
+	}
+	for _, l := range w.coldLog {
+		sent += l.wear
+	}
+	bears := d.s.FallMultiple * warmth * size * float64(d.s.FallWindow)
+	return sent <= coldShare*bears/float64(d.s.GroupSize)
+}
+
+// wear is a job's run time on the slowest of w's kind. A small job counts as a mean one: each wears a cold
+// worker, and those that look small would go first.
+func (d *Dispatcher) wear(j *job, w *worker) float64 {
+	pace := d.pace
 	for _, p := range d.ready {
-		if p != w && p.Kind == w.Kind {
-			size = max(size, p.peak)
+		if p.Kind == w.Kind {
+			pace = max(pace, p.pace)
 		}
 	}
-	rate := coldShare * d.s.FallMultiple * warmth * size / float64(d.s.GroupSize)
-	w.coldSpent = max(0, w.coldSpent-rate*float64(d.now-w.coldAt))
-	w.coldAt = d.now
-	return w.coldSpent+d.wear(j) <= rate*float64(d.s.FallWindow)
+	return max(d.expect(j), d.meanWork) * pace * j.need
 }
 
-// wear counts a small job as a mean one: each job wears a cold worker, and those that look small would go first.
-func (d *Dispatcher) wear(j *job) float64 { return max(d.expect(j), d.meanWork) * d.pace * j.need }
-
 // ---- What a job is worth, and until when.
 
 // expect is a job's expected work in microseconds on a standard core.
@@ -140,8 +149,8 @@
 	return j.class.run
 }
 
-// until is the last moment at which a send can earn what the job's band stands for: the full worth on a usual worker,
-// or on the quickest if it is a heavy job; late, the end of the client's patience.
+// until is the last moment at which a send can earn what the job's band stands for: its full worth on a usual
+// worker, on the quickest if it is a heavy job; late, an end before the client gives up.
 func (d *Dispatcher) until(j *job) Time {
 	if j.band == behind && j.class.LateWorth > 0 {
 		return j.end - Time(d.expect(j)*d.best*lateRoom)
@@ -152,7 +161,7 @@
 	return j.aimAt - Time(d.expect(j)*d.best)
 }
 
-// demote moves a job that has lost its full worth behind the others; it reports false where nothing is left of it.
+// demote moves a job that lost its full worth behind the others. It reports false if nothing is left of it.
 func (d *Dispatcher) demote(j *job) bool {
 	if j.band == behind || j.class.LateWorth <= 0 {
 		return false
@@ -161,7 +170,7 @@
 	return d.now < d.until(j)
 }
 
-// backlog is how long the work that waits ahead of a job takes with the slots we have in flight (Little's law).
+// backlog is how long the work ahead of a job takes with the slots we have in flight (Little's law).
 func (d *Dispatcher) backlog(j *job) Time {
 	ahead := d.waiting[onTime]
 	if j.band == behind {
@@ -173,8 +182,8 @@
 	return Time(max(0, ahead) * d.meanWork * d.pace / max(d.inUse, 1))
 }
 
-// overShare says whether a job goes beyond its tenant's share: it is worth little and must not starve the others. Our
-// part of a quota is taken to be our part of all traffic, and that to be usually what the quotas add up to.
+// overShare says whether a job goes beyond its tenant's share: it is worth little and must not starve others.
+// Our part of a quota is taken to be our part of all traffic, which usually is what the quotas add up to.
 func (d *Dispatcher) overShare(j *job, retry bool) bool {
 	t := j.tenant
 	if t == nil || d.s.OverShareWorth >= 1 || d.quotas <= 0 {
@@ -204,7 +213,7 @@
 		j.band = behind
 	}
 	if d.now+d.backlog(j) > d.until(j) && !d.demote(j) {
-		d.finish(j) // guards against a queue of jobs that all end late, and against waits that come to nothing
+		d.finish(j) // guards against queues in which all end late, and waits that come to nothing
 		return
 	}
 	d.hold(j)
@@ -300,7 +309,7 @@
 	}
 }
 
-// serve sends held jobs to a worker while it has room: those of its own list, then those whose picks it may join.
+// serve sends held jobs to a worker while it has room: its own list's, then those whose picks it may join.
 func (d *Dispatcher) serve(w *worker) {
 	if !w.told || w.State != Ready {
 		return
@@ -413,7 +422,7 @@
 	}
 	if j.mayHaveRun() {
 		if j.class.Effect == Unsafe || j.isOut() && !d.s.SecondCopies || d.extra < 1 {
-			return false // the budget guards against a storm of attempts when all workers are slow or failing
+			return false // the budget guards against a storm of attempts when all are slow or failing
 		}
 		d.extra--
 	}
@@ -456,8 +465,8 @@
 	d.schedule(j)
 }
 
-// cut guards against a queue at the worker, where jobs wait out of our reach: its room becomes what runs there of ours.
-// If that is nothing, others fill the worker, and we send one job at a time with longer and longer pauses.
+// cut guards against a queue at the worker, where jobs wait out of reach: its room becomes what runs there
+// of ours. If that is nothing, others fill it, and we send one job at a time with longer and longer pauses.
 func (w *worker) cut() {
 	if w.running >= 1 {
 		w.room = min(w.room, w.running)
@@ -488,34 +497,28 @@
 		a.neverRan = true
 	case Unreachable:
 		a.neverRan = true
-		d.suspect(w) // guards against a cut link or a dead worker, which fail every send and always have room
+		d.suspect(w) // guards against a cut link or a dead worker: they fail all and always have room
 	case Failed, Disconnected:
 		w.judge(1)
 	}
 	d.trust()
-	switch {
-	case e.Final:
+	if e.Final || !j.open {
 		d.close(j)
-	case !j.open:
-		d.forget(j)
-	case d.now >= j.end || !d.again(j):
+	} else if d.now >= j.end || !d.again(j) {
 		d.finishIdle(j)
 	}
 	d.serve(w)
 }
 
 func (d *Dispatcher) succeeded(j *job, a *attempt, atRoom bool) {
-	w, from := a.w, a.startedAt
+	w := a.w
 	w.judge(0)
 	if w.distrust {
 		w.judge(0) // trials are few: each counts for three
 		w.judge(0)
 	}
 	w.sign()
-	if from == 0 {
-		from = a.sentAt
-	}
-	run, weight := float64(d.now-from), paceWeight
+	run, weight := float64(d.now-max(a.startedAt, a.sentAt)), paceWeight
 	if j.work == 0 {
 		weight /= 4 // without hints a long run mostly means a long job
 	}
@@ -540,8 +543,8 @@
 	}
 }
 
-// trust marks workers that fail far more than their peers, at most a third of the ready ones: a trouble that all share
-// is no worker's fault.
+// trust marks workers that fail far more than their peers, at most a third of the ready ones: a trouble that
+// all share is no worker's fault.
 func (d *Dispatcher) trust() {
 	sum, most := d.sum(func(p *worker) float64 { return p.fails }), len(d.ready)/3
 	d.best = d.pace
@@ -563,7 +566,7 @@
 
 // welcome sets what is believed of a worker that is new or has restarted.
 func (d *Dispatcher) welcome(w *worker) {
-	w.room, w.pace, w.fails, w.coldSpent, w.coldAt = roomStart, d.pace, 0, 0, d.now
+	w.room, w.pace, w.fails, w.coldLog = roomStart, d.pace, 0, nil
 	w.sign()
 	if len(d.ready) > 0 {
 		w.room = d.sum(func(p *worker) float64 { return p.room }) / float64(len(d.ready))
@@ -582,7 +585,7 @@
 
 // listLost keeps the last list and asks again, less and less often but in time for rule three.
 func (d *Dispatcher) listLost() {
-	d.askAt = d.now + d.askWait
+	d.askAt = min(d.askAt, d.now+d.askWait)
 	d.askWait = min(2*d.askWait, d.s.AskWithin/askTimes)
 }
 
--- /dev/null
+++ b/rules/rules_test.go
@@ -0,0 +1,815 @@
+package rules
+
+import (
+	"bytes"
+	"os"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+)
+
+const ms = Millisecond
+
+// desk drives one dispatcher by hand: it keeps the clock, fires the timers that were asked for and collects actions.
+type desk struct {
+	t     *testing.T
+	d     *Dispatcher
+	now   Time
+	timer Time
+	acts  []Action
+	next  RequestID
+}
+
+func settings() Settings {
+	return Settings{
+		Classes: []Class{
+			{Aim: 400 * ms, Stretch: 2, Deadline: 5 * Second, Worth: 1, LateWorth: 0.3, Effect: Safe, Kind: -1},
+			{Aim: 400 * ms, Stretch: 2, Deadline: 5 * Second, Worth: 1, LateWorth: 0.3, Effect: Keyed,
+				Group: GroupAll, Window: 3 * Second, Kind: -1},
+			{Aim: 400 * ms, Stretch: 2, Deadline: 5 * Second, Worth: 1, Effect: Unsafe, Kind: -1},
+			{Aim: 400 * ms, Stretch: 2, Deadline: 5 * Second, Worth: 1, Effect: Keyed,
+				Group: GroupZone, Window: 3 * Second, Kind: -1},
+		},
+		OverShareWorth: 1, Zones: 2, Kinds: 2, Zone: 0, GroupSize: 1, Tick: ms, MaxAttempts: 4,
+		CanCancel: true, SecondCopies: true, TellsStart: true, Progress: Second, AskWithin: 9 * Second,
+		ColdFrom: 0.1, WarmWithin: 20 * Second, FallMultiple: 3, FallWindow: Second,
+	}
+}
+
+const (
+	safe = iota
+	keyedAll
+	unsafe
+	keyedZone
+)
+
+func newDesk(t *testing.T, s Settings, workers ...Worker) *desk {
+	t.Helper()
+	d, err := New(s, 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	k := &desk{t: t, d: d, now: 100 * Second, timer: never}
+	if workers != nil {
+		k.do(Event{Kind: ListSnapshot, Workers: workers, Version: 1})
+	}
+	return k
+}
+
+func fleet(n int) []Worker {
+	var w []Worker
+	for i := range n {
+		w = append(w, Worker{ID: WorkerID(i)})
+	}
+	return w
+}
+
+// do hands over one event and returns the actions but for timers.
+func (k *desk) do(e Event) []Action {
+	k.acts = k.d.Handle(k.now, &e, k.acts[:0])
+	var out []Action
+	for _, a := range k.acts {
+		if a.Kind == SetTimer {
+			k.timer = min(k.timer, k.now+a.Wait)
+		} else {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// wait lets time pass, firing timers, and returns what was done meanwhile.
+func (k *desk) wait(t Time) []Action {
+	var out []Action
+	for end := k.now + t; ; {
+		if k.timer > end {
+			k.now = end
+			return out
+		}
+		k.now, k.timer = max(k.timer, k.now), never
+		out = append(out, k.do(Event{Kind: TimerFired})...)
+	}
+}
+
+func (k *desk) land(class int, work Time) (RequestID, []Action) {
+	id := k.next
+	k.next++
+	return id, k.do(Event{Kind: Arrived, Request: id, Class: class, Tenant: -1, Work: work, Left: 5 * Second, Slots: 1})
+}
+
+// sent lands a job that must go out at once and returns its id and worker.
+func (k *desk) sent(class int, work Time) (RequestID, WorkerID) {
+	k.t.Helper()
+	id, acts := k.land(class, work)
+	if len(acts) != 1 || acts[0].Kind != Send || acts[0].Request != id {
+		k.t.Fatalf("a landing with room: got %v, want one send", acts)
+	}
+	return id, acts[0].Worker
+}
+
+func (k *desk) end(id RequestID, attempt int, r Result) []Action {
+	return k.do(Event{Kind: Ended, Request: id, Attempt: attempt, Result: r, Final: r == OK})
+}
+
+func (k *desk) start(id RequestID, attempt int) []Action {
+	return k.do(Event{Kind: Started, Request: id, Attempt: attempt})
+}
+
+// run starts an attempt at once and ends it well after t.
+func (k *desk) run(id RequestID, t Time) []Action {
+	k.start(id, 0)
+	out := k.wait(t)
+	return append(out, k.end(id, 0, OK)...)
+}
+
+func count(acts []Action, kind ActionKind) int {
+	n := 0
+	for _, a := range acts {
+		if a.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
+
+func want(t *testing.T, acts []Action, kinds ...ActionKind) {
+	t.Helper()
+	got := []ActionKind{}
+	for _, a := range acts {
+		got = append(got, a.Kind)
+	}
+	if !slices.Equal(got, kinds) {
+		t.Fatalf("actions %v, want kinds %v", acts, kinds)
+	}
+}
+
+func TestLandingTakesPickUsingLeastOfItsRoom(t *testing.T) {
+	k := newDesk(t, settings(), fleet(2)...)
+	got := map[WorkerID]int{}
+	for range 4 {
+		_, w := k.sent(safe, 100*ms)
+		got[w]++
+	}
+	// Two picks may fall on the same worker, but four jobs must fill both rooms of two.
+	if got[0] != 2 || got[1] != 2 {
+		t.Fatalf("sends by worker %v, want two each", got)
+	}
+	_, acts := k.land(safe, 100*ms)
+	want(t, acts)
+}
+
+func TestHeldJobGoesOutWhenRoomAppearsOldestFirst(t *testing.T) {
+	k := newDesk(t, settings(), fleet(1)...)
+	a, _ := k.sent(safe, 100*ms)
+	k.sent(safe, 100*ms)
+	k.start(a, 0)
+	c, acts := k.land(safe, 100*ms)
+	want(t, acts)
+	k.land(safe, 100*ms)
+	k.wait(20 * ms)
+	acts = k.end(a, 0, OK)
+	if len(acts) == 0 || acts[0].Kind != Send || acts[0].Request != c {
+		t.Fatalf("got %v, want the oldest held job %d sent first", acts, c)
+	}
+	if n := count(acts, Send); n > 2 {
+		t.Fatalf("%d sends for one slot and one step of room", n)
+	}
+}
+
+func TestFurtherWorkerJoinsAfterTick(t *testing.T) {
+	s := settings()
+	s.PriceCross = 0.1 // picks stay in the own zone, here worker 0
+	k := newDesk(t, s, Worker{ID: 0, Zone: 0}, Worker{ID: 1, Zone: 1})
+	for range 2 {
+		if _, w := k.sent(safe, 100*ms); w != 0 {
+			t.Fatalf("sent to worker %d, want the own zone's", w)
+		}
+	}
+	_, acts := k.land(safe, 100*ms)
+	want(t, acts)
+	want(t, k.wait(joinTick-ms))
+	acts = k.wait(joinTick + 40*ms)
+	if len(acts) != 1 || acts[0].Kind != Send || acts[0].Worker != 1 {
+		t.Fatalf("got %v, want a send to the worker of the other zone", acts)
+	}
+}
+
+func TestRoomGrowsAtRoomAndCutsOnLateStart(t *testing.T) {
+	k := newDesk(t, settings(), fleet(1)...)
+	a, _ := k.sent(safe, 100*ms)
+	b, _ := k.sent(safe, 100*ms)
+	k.wait(ms)
+	k.start(a, 0)
+	k.start(b, 0)
+	k.wait(100 * ms)
+	k.end(a, 0, OK)
+	if w := k.d.workers[0]; w.room != 3 {
+		t.Fatalf("room %v after a success at a room of 2, want 3", w.room)
+	}
+	for range 2 {
+		k.sent(safe, 100*ms)
+	}
+	k.wait(queueSlack + 5*ms) // neither starts
+	if w := k.d.workers[0]; w.room != 1 {
+		t.Fatalf("room %v with one job running and two queued, want 1", w.room)
+	}
+}
+
+func TestPausesWhereOthersFillTheWorker(t *testing.T) {
+	k := newDesk(t, settings(), fleet(1)...)
+	a, _ := k.sent(safe, 100*ms)
+	k.wait(ms)
+	k.run(a, 100*ms)
+	b, _ := k.sent(safe, 100*ms)
+	k.wait(300 * ms)
+	k.start(b, 0)
+	if w := k.d.workers[0]; w.room >= 1 {
+		t.Fatalf("room %v after our only job queued behind others, want below 1", w.room)
+	}
+	k.wait(100 * ms)
+	k.end(b, 0, OK)
+	_, acts := k.land(safe, 100*ms)
+	want(t, acts)
+	if acts = k.wait(300 * ms); count(acts, Send) != 1 {
+		t.Fatalf("after the pause: %v, want the send", acts)
+	}
+}
+
+func TestFullCutsRoomAndJobMovesOn(t *testing.T) {
+	k := newDesk(t, settings(), fleet(2)...)
+	a, w := k.sent(unsafe, 100*ms) // a full reply proves that even an unsafe one never ran
+	acts := k.end(a, 0, Full)
+	if len(acts) != 1 || acts[0].Kind != Send || acts[0].Worker == w {
+		t.Fatalf("got %v, want a send to the other worker", acts)
+	}
+	if r := k.d.workers[w].room; r >= roomStart {
+		t.Fatalf("room %v after a full reply, want it cut", r)
+	}
+}
+
+func TestNewWorkerStartsAtMeanRoom(t *testing.T) {
+	k := newDesk(t, settings(), fleet(2)...)
+	k.d.workers[0].room, k.d.workers[1].room = 3, 6
+	k.do(Event{Kind: ListChange, Version: 2, Workers: []Worker{{ID: 2}}})
+	if r := k.d.workers[2].room; r != 4.5 {
+		t.Fatalf("room %v, want the mean 4.5", r)
+	}
+}
+
+func TestSlotsAndMemoryCount(t *testing.T) {
+	k := newDesk(t, settings(), fleet(1)...)
+	k.d.workers[0].room = 4
+	e := Event{Kind: Arrived, Request: 0, Tenant: -1, Work: 100 * ms, Left: 5 * Second, Slots: 2, Memory: 3}
+	want(t, k.do(e), Send)
+	e.Request, e.Slots, e.Memory = 1, 2, 0
+	want(t, k.do(e)) // three of four units are in use
+	e.Request, e.Slots = 2, 1
+	want(t, k.do(e), Send) // the head does not fit, this one does
+}
+
+func TestRequiredKind(t *testing.T) {
+	s := settings()
+	s.Classes[0].Kind = 1
+	k := newDesk(t, s, Worker{ID: 0, Kind: 0}, Worker{ID: 1, Kind: 1})
+	for range 2 {
+		_, acts := k.land(safe, 100*ms)
+		acts = append(acts, k.wait(30*ms)...)
+		if len(acts) != 1 || acts[0].Worker != 1 {
+			t.Fatalf("got %v, want the worker of kind 1", acts)
+		}
+	}
+}
+
+// Failures and the answers to them.
+
+func TestRepeatsByEffect(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		class  int
+		result Result
+		want   ActionKind
+	}{
+		{"safe failed", safe, Failed, Send},
+		{"safe disconnected", safe, Disconnected, Send},
+		{"keyed failed", keyedAll, Failed, Send},
+		{"unsafe failed", unsafe, Failed, GiveUp},
+		{"unsafe timed out", unsafe, TimedOut, GiveUp},
+		{"unsafe unknown", unsafe, UnknownResult, GiveUp},
+		{"unsafe unreachable", unsafe, Unreachable, Send},
+		{"unsafe not sent", unsafe, NotSent, Send},
+		{"keyed by zone, other zone only", keyedZone, Failed, GiveUp},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := settings()
+			s.PriceCross = 0.01
+			k := newDesk(t, s, Worker{ID: 0, Zone: 0}, Worker{ID: 1, Zone: 1})
+			id, _ := k.sent(c.class, 100*ms)
+			acts := append(k.end(id, 0, c.result), k.wait(2*Second)...)
+			if len(acts) == 0 || acts[0].Kind != c.want {
+				t.Fatalf("got %v, want kind %v first", acts, c.want)
+			}
+		})
+	}
+}
+
+func TestKeyedNotSentAgainAfterItsWindow(t *testing.T) {
+	s := settings()
+	s.Classes[keyedAll].Window = 50 * ms
+	k := newDesk(t, s, fleet(3)...)
+	id, _ := k.sent(keyedAll, 100*ms)
+	k.wait(100 * ms)
+	if acts := append(k.end(id, 0, Failed), k.wait(5*Second)...); count(acts, Send) != 0 {
+		t.Fatalf("got %v, want no further attempt", acts)
+	}
+}
+
+func TestNoSecondCopyWhereNotAllowed(t *testing.T) {
+	s := settings()
+	s.SecondCopies = false
+	k := newDesk(t, s, fleet(3)...)
+	id, _ := k.sent(safe, 3*Second)
+	k.start(id, 0)
+	if acts := k.wait(4 * Second); count(acts, Send) != 0 {
+		t.Fatalf("got %v, want no send beside the first attempt", acts)
+	}
+}
+
+func TestAnswerBeforeDeadline(t *testing.T) {
+	for _, class := range []int{safe, keyedAll, unsafe} {
+		k := newDesk(t, settings(), fleet(1)...)
+		id, _ := k.sent(class, 100*ms)
+		began := k.now
+		k.start(id, 0)
+		var final Action
+		for k.now < began+6*Second {
+			for _, a := range k.wait(10 * ms) {
+				if a.Kind == Refuse || a.Kind == GiveUp {
+					final = a
+				}
+			}
+			if final.Kind != Send {
+				break
+			}
+		}
+		if final.Kind == Send || k.now > began+5*Second {
+			t.Fatalf("class %d: final answer %v at %v after landing", class, final, k.now-began)
+		}
+		if class == unsafe && final.Kind != GiveUp {
+			t.Fatalf("an unsafe job that may have run got %v, want a failure", final)
+		}
+	}
+}
+
+func TestNothingIsSentToDrainingOrGone(t *testing.T) {
+	for _, st := range []State{Draining, Gone} {
+		k := newDesk(t, settings(), fleet(2)...)
+		k.do(Event{Kind: ListChange, Version: 2, Workers: []Worker{{ID: 0, State: st}}})
+		k.do(Event{Kind: ListChange, Version: 1, Workers: []Worker{{ID: 0}}}) // late news
+		for range 6 {
+			_, acts := k.land(safe, 100*ms)
+			for _, a := range append(acts, k.wait(100*ms)...) {
+				if a.Kind == Send && a.Worker == 0 {
+					t.Fatalf("state %v: sent to it", st)
+				}
+			}
+		}
+	}
+}
+
+func TestEntriesMoveOffDrainingWorker(t *testing.T) {
+	k := newDesk(t, settings(), fleet(1)...)
+	k.sent(safe, 100*ms)
+	k.sent(safe, 100*ms)
+	id, acts := k.land(safe, 100*ms)
+	want(t, acts)
+	acts = k.do(Event{Kind: ListSnapshot, Version: 2, Workers: []Worker{{ID: 0, State: Draining}, {ID: 1}}})
+	acts = append(acts, k.wait(20*ms)...)
+	if len(acts) != 1 || acts[0].Request != id || acts[0].Worker != 1 {
+		t.Fatalf("got %v, want the held job sent to the new worker", acts)
+	}
+}
+
+func TestColdWorkerGetsItsBudgetOnly(t *testing.T) {
+	s := settings()
+	s.GroupSize = 2
+	k := newDesk(t, s, Worker{ID: 0, StartedAt: 100 * Second})
+	sends := 0
+	for range 100 { // ten jobs of 100 ms a second, small ones among them
+		_, acts := k.land(safe, 20*ms+Time(k.next%2)*180*ms)
+		sends += count(append(acts, k.wait(100*ms)...), Send)
+		for _, a := range k.acts {
+			_ = a
+		}
+		for id := range k.next {
+			if j := k.d.job(id); j != nil && j.isOut() {
+				k.end(id, 0, OK)
+			}
+		}
+		if k.now < 101*Second && sends > 1 {
+			t.Fatalf("%d sends to a worker that bears 0.3 slots of work of both of us", sends)
+		}
+	}
+	if sends == 0 {
+		t.Fatal("a warming worker got nothing in ten seconds")
+	}
+	// Over the first ten seconds warmth is at most 0.55: our half of 3 times that is 0.825 slots, 8.25 jobs a second.
+	if sends > 55 {
+		t.Fatalf("%d sends in ten seconds", sends)
+	}
+}
+
+func TestQuickErrorsMakeNoBlackHole(t *testing.T) {
+	k := newDesk(t, settings(), fleet(6)...)
+	bad := 0
+	for range 200 {
+		_, acts := k.land(safe, 50*ms)
+		acts = append(acts, k.wait(10*ms)...)
+		for i := 0; i < len(acts); i++ {
+			a := acts[i]
+			if a.Kind != Send {
+				continue
+			}
+			attempt := len(k.d.job(a.Request).attempts) - 1
+			if a.Worker == 0 {
+				bad++
+				acts = append(acts, k.end(a.Request, attempt, Failed)...)
+				continue
+			}
+			k.start(a.Request, attempt)
+			k.end(a.Request, attempt, OK)
+		}
+	}
+	if bad > 20 {
+		t.Fatalf("%d of 200 jobs went to a worker that fails all, want trials only", bad)
+	}
+	if !k.d.workers[0].distrust {
+		t.Fatal("the failing worker is trusted")
+	}
+	k.wait(5 * Second)
+	k.d.workers[1].use += 100 // leave only the once failing worker with room
+	for i := 2; i < 6; i++ {
+		k.d.workers[i].use += 100
+	}
+	tried := 0
+	for range 40 {
+		_, acts := k.land(safe, 50*ms)
+		for _, a := range append(acts, k.wait(250*ms)...) {
+			if a.Kind == Send && a.Worker == 0 {
+				tried++
+				at := len(k.d.job(a.Request).attempts) - 1
+				k.start(a.Request, at)
+				k.end(a.Request, at, OK)
+			}
+		}
+	}
+	if tried < 1 || k.d.workers[0].distrust {
+		t.Fatalf("%d trials, distrust %v: a worker that serves again must win back trust", tried, k.d.workers[0].distrust)
+	}
+}
+
+func TestAllFailingLeavesMostTrusted(t *testing.T) {
+	k := newDesk(t, settings(), fleet(6)...)
+	for range 100 {
+		id, acts := k.land(safe, 50*ms)
+		for _, a := range acts {
+			if a.Kind == Send {
+				k.end(id, len(k.d.job(id).attempts)-1, Failed)
+			}
+		}
+		k.wait(20 * ms)
+	}
+	bad := 0
+	for _, w := range k.d.workers {
+		if w.distrust {
+			bad++
+		}
+	}
+	if bad > 2 {
+		t.Fatalf("%d of 6 distrusted when all fail alike, want at most a third", bad)
+	}
+}
+
+func TestFurtherAttemptsAreBudgeted(t *testing.T) {
+	k := newDesk(t, settings(), fleet(4)...)
+	landed, sends := 300, 0
+	for range landed {
+		_, acts := k.land(safe, 50*ms)
+		acts = append(acts, k.wait(20*ms)...)
+		for i := 0; i < len(acts); i++ {
+			if a := acts[i]; a.Kind == Send {
+				sends++
+				acts = append(acts, k.end(a.Request, len(k.d.job(a.Request).attempts)-1, Failed)...)
+			}
+		}
+	}
+	if most := float64(landed)*(1+extraShare) + extraMost + 1; float64(sends) > most {
+		t.Fatalf("%d attempts for %d landings, want at most %v", sends, landed, most)
+	}
+}
+
+func TestUnreachableWorkerIsLeftToRarerTrials(t *testing.T) {
+	k := newDesk(t, settings(), fleet(3)...)
+	tried := 0
+	for range 400 { // eight seconds
+		_, acts := k.land(safe, 20*ms)
+		acts = append(acts, k.wait(20*ms)...)
+		for i := 0; i < len(acts); i++ {
+			a := acts[i]
+			if a.Kind != Send {
+				continue
+			}
+			at := len(k.d.job(a.Request).attempts) - 1
+			if a.Worker == 0 {
+				tried++
+				acts = append(acts, k.end(a.Request, at, Unreachable)...)
+				continue
+			}
+			k.start(a.Request, at)
+			k.end(a.Request, at, OK)
+		}
+	}
+	if tried < 3 || tried > 12 {
+		t.Fatalf("%d sends to a worker out of reach in eight seconds, want a few trials", tried)
+	}
+}
+
+func TestStandingStillIsFoundAndTheJobCopied(t *testing.T) {
+	k := newDesk(t, settings(), fleet(2)...)
+	id, w := k.sent(safe, 600*ms)
+	k.wait(ms)
+	k.start(id, 0)
+	k.wait(Second)
+	k.do(Event{Kind: Progressed, Request: id, Done: 0.4})
+	if acts := k.wait(Second); len(acts) != 0 {
+		t.Fatalf("got %v within the time of a progress note", acts)
+	}
+	acts := k.wait(stallSlack + 20*ms)
+	if count(acts, Send) != 1 || acts[0].Worker == w {
+		t.Fatalf("got %v, want a copy at the other worker", acts)
+	}
+	if !k.d.workers[w].silent {
+		t.Fatal("the worker that stands still is not suspected")
+	}
+	k.do(Event{Kind: Progressed, Request: id, Done: 0.6})
+	if k.d.workers[w].silent {
+		t.Fatal("the worker gave a sign and is still suspected")
+	}
+}
+
+// startAll starts every attempt that is out.
+func startAll(k *desk) {
+	k.wait(ms)
+	for id := range k.next {
+		if j := k.d.job(id); j != nil {
+			for i := range j.attempts {
+				k.start(id, i)
+			}
+		}
+	}
+}
+
+func TestSharedSlowdownKeepsRooms(t *testing.T) {
+	k := newDesk(t, settings(), fleet(3)...)
+	for range 10 { // all runs take five times their work, but start at once
+		for range 6 {
+			k.land(safe, 100*ms)
+		}
+		startAll(k)
+		k.wait(500 * ms)
+		for id := range k.next {
+			if j := k.d.job(id); j != nil && j.isOut() {
+				k.wait(ms)
+				k.end(id, 0, OK)
+				startAll(k)
+			}
+		}
+	}
+	for _, w := range k.d.ready {
+		if w.room < roomStart || w.distrust || w.silent {
+			t.Fatalf("worker %d: room %v, distrust %v, silent %v after a shared slowdown", w.ID, w.room, w.distrust, w.silent)
+		}
+	}
+}
+
+func TestRefusesEarlyWhatCannotEndInTime(t *testing.T) {
+	s := settings()
+	s.Classes[safe].LateWorth = 0
+	k := newDesk(t, s, fleet(1)...)
+	for range 2 {
+		id, _ := k.sent(safe, 400*ms)
+		k.start(id, 0)
+	}
+	refused := 0
+	for range 20 {
+		_, acts := k.land(safe, 400*ms)
+		refused += count(acts, Refuse)
+	}
+	if refused < 10 {
+		t.Fatalf("%d of 20 jobs beyond the backlog refused at landing", refused)
+	}
+	if acts := k.wait(2 * Second); count(acts, Refuse)+refused != 20 {
+		t.Fatalf("%d refused, want all once they cannot end in time", count(acts, Refuse)+refused)
+	}
+}
+
+func TestLateWorkWaitsBehind(t *testing.T) {
+	k := newDesk(t, settings(), fleet(1)...)
+	a, _ := k.sent(safe, 400*ms)
+	b, _ := k.sent(safe, 400*ms)
+	k.start(a, 0)
+	k.start(b, 0)
+	old, _ := k.land(safe, 200*ms)
+	k.wait(Second) // too late for its aim, still worth something
+	fresh, _ := k.land(safe, 200*ms)
+	k.d.workers[0].room = 2
+	acts := k.end(a, 0, OK)
+	if len(acts) == 0 || acts[0].Request != fresh {
+		t.Fatalf("got %v, want the job %d that can be in time before the late %d", acts, fresh, old)
+	}
+}
+
+func TestNoSendThatTheClientCannotWaitFor(t *testing.T) {
+	k := newDesk(t, settings(), fleet(1)...)
+	acts := k.do(Event{Kind: Arrived, Request: 0, Tenant: -1, Work: Second, Left: 1200 * ms, Slots: 1})
+	acts = append(acts, k.wait(1200*ms)...)
+	want(t, acts, Refuse)
+}
+
+func TestTenantBeyondItsShareWaitsBehind(t *testing.T) {
+	s := settings()
+	s.Tenants, s.OverShareWorth = []Tenant{{Quota: 5}, {Quota: 5}}, 0.1
+	k := newDesk(t, s, fleet(1)...)
+	a, _ := k.sent(safe, 100*ms)
+	b, _ := k.sent(safe, 100*ms)
+	k.start(a, 0)
+	k.start(b, 0)
+	k.wait(Second)
+	var flood RequestID
+	for range 10 {
+		flood = k.next
+		k.next++
+		k.do(Event{Kind: Arrived, Request: flood, Tenant: 0, Work: 300 * ms, Left: 5 * Second, Slots: 1})
+	}
+	if j := k.d.job(flood); j != nil && j.band != behind {
+		t.Fatal("the tenth job at once of a tenant with five a second is not behind")
+	}
+	other := k.next
+	k.do(Event{Kind: Arrived, Request: other, Tenant: 1, Work: 300 * ms, Left: 5 * Second, Slots: 1})
+	if j := k.d.job(other); j == nil || j.band != onTime {
+		t.Fatal("another tenant's job suffers from the flood")
+	}
+}
+
+func TestFollowsTheList(t *testing.T) {
+	s := settings()
+	s.ListOnRequest = true
+	k := newDesk(t, s)
+	want(t, k.do(Event{Kind: ListSnapshot, Stale: true, Workers: fleet(2), Version: 3}), WatchList)
+	want(t, k.do(Event{Kind: ListLost}))
+	var gaps []Time
+	last := k.now
+	for range 6 {
+		if count(k.wait(s.AskWithin), WatchList) == 0 {
+			t.Fatal("did not ask again in time")
+		}
+		gaps = append(gaps, k.now-last)
+		last = k.now
+		k.do(Event{Kind: ListLost})
+	}
+	want(t, k.do(Event{Kind: ListChange, Version: 4, Workers: []Worker{{ID: 0, State: Draining}}}))
+	if acts := k.wait(2 * s.AskWithin); count(acts, WatchList) != 0 {
+		t.Fatalf("got %v while the watch stands", acts)
+	}
+	for _, g := range gaps {
+		if g > s.AskWithin {
+			t.Fatalf("gaps between asks %v, want none above %v", gaps, s.AskWithin)
+		}
+	}
+}
+
+func TestBacksOffWhenTheListIsLost(t *testing.T) {
+	s := settings()
+	s.ListOnRequest = true
+	k := newDesk(t, s)
+	k.do(Event{Kind: ListSnapshot, Stale: true, Workers: fleet(2), Version: 3})
+	asks := 0
+	for range 100 { // ten seconds in which every call fails at once
+		if n := count(k.wait(100*ms), WatchList); n > 0 {
+			asks += n
+			k.do(Event{Kind: ListLost})
+		} else if asks == 0 {
+			k.do(Event{Kind: ListLost})
+		}
+	}
+	if asks < 3 || asks > 12 {
+		t.Fatalf("%d asks in ten seconds", asks)
+	}
+}
+
+func TestRestartedWorkerIsColdAndForgiven(t *testing.T) {
+	k := newDesk(t, settings(), fleet(2)...)
+	w := k.d.workers[0]
+	w.fails, w.silent, w.room = 1, true, 9
+	k.do(Event{Kind: ListChange, Version: 2, Workers: []Worker{{ID: 0, StartedAt: k.now}}})
+	if w.fails != 0 || w.silent || w.room == 9 || k.d.warmth(w) >= 1 {
+		t.Fatalf("after a restart: fails %v, silent %v, room %v, warmth %v", w.fails, w.silent, w.room, k.d.warmth(w))
+	}
+}
+
+func TestUnknownThingsAreIgnored(t *testing.T) {
+	k := newDesk(t, settings(), fleet(2)...)
+	id, _ := k.sent(safe, 100*ms)
+	for _, e := range []Event{
+		{Kind: Ended, Request: 99, Result: OK, Final: true},
+		{Kind: Ended, Request: id, Attempt: 7, Result: Failed},
+		{Kind: Ended, Request: id, Attempt: -1, Result: Failed},
+		{Kind: Started, Request: 99}, {Kind: Progressed, Request: 99}, {Kind: ClientGone, Request: 99},
+		{Kind: Arrived, Request: id, Class: safe, Left: Second}, // an id that is open
+		{Kind: Arrived, Request: 50, Class: 77, Left: Second},
+		{Kind: Probed, Worker: 12}, {Kind: EventKind(200)},
+	} {
+		if acts := k.do(e); len(acts) != 0 {
+			t.Fatalf("event %+v: got %v", e, acts)
+		}
+	}
+	k.end(id, 0, OK)
+	if acts := k.end(id, 0, OK); len(acts) != 0 {
+		t.Fatalf("a second end: got %v", acts)
+	}
+}
+
+func TestNewChecksSettings(t *testing.T) {
+	for _, c := range []struct {
+		field string
+		spoil func(*Settings)
+	}{
+		{"Classes", func(s *Settings) { s.Classes = nil }},
+		{"Classes[1].Kind", func(s *Settings) { s.Classes[1].Kind = 2 }},
+		{"Classes[0].Aim", func(s *Settings) { s.Classes[0].Aim = -1 }},
+		{"Classes[0].Effect", func(s *Settings) { s.Classes[0].Effect = 9 }},
+		{"Tenants[0].Quota", func(s *Settings) { s.Tenants = []Tenant{{Quota: -1}} }},
+		{"Zone", func(s *Settings) { s.Zone = 2 }},
+		{"GroupSize", func(s *Settings) { s.GroupSize = 0 }},
+		{"MaxAttempts", func(s *Settings) { s.MaxAttempts = 0 }},
+		{"Tick", func(s *Settings) { s.Tick = -1 }},
+		{"WarmWithin", func(s *Settings) { s.WarmWithin = -1 }},
+		{"ColdFrom", func(s *Settings) { s.ColdFrom = -0.1 }},
+	} {
+		s := settings()
+		c.spoil(&s)
+		if _, err := New(s, 1); err == nil || !strings.Contains(err.Error(), c.field) {
+			t.Errorf("%s: error %v does not name it", c.field, err)
+		}
+	}
+}
+
+// The module's size is part of its contract.
+func TestModuleSize(t *testing.T) {
+	text, err := os.ReadFile("rules.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := 0
+	for i, l := range bytes.Split(text, []byte("\n")) {
+		if len(bytes.TrimSpace(l)) > 0 {
+			lines++
+		}
+		if n := len([]rune(string(bytes.ReplaceAll(l, []byte("\t"), []byte("    "))))); n > 110 {
+			t.Errorf("line %d has %d columns", i+1, n)
+		}
+	}
+	if lines > 550 {
+		t.Errorf("%d non-blank lines, want 550 at most", lines)
+	}
+	if head, _, _ := bytes.Cut(text, []byte("package")); !bytes.Contains(head, []byte("rules/interface.go")) {
+		t.Error("the top of the module does not name rules/interface.go")
+	}
+}
+
+func TestNothingButDecisionsIsImported(t *testing.T) {
+	for _, f := range []string{"rules.go", "state.go", "interface.go"} {
+		text, err := os.ReadFile(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, bad := range []string{`"time"`, `"os"`, `"net`, `"sync`, `"reflect"`, "go func", `"io"`} {
+			if bytes.Contains(text, []byte(bad)) {
+				t.Errorf("%s holds %s", f, bad)
+			}
+		}
+	}
+}
+
+func TestInterfaceHoldsTypesOnly(t *testing.T) {
+	text, err := os.ReadFile("interface.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if bytes.Contains(text, []byte("func ")) {
+		t.Error("interface.go holds a function")
+	}
+	if k := reflect.TypeOf(Settings{}).Kind(); k != reflect.Struct {
+		t.Errorf("Settings is a %v", k)
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -77,22 +77,26 @@
 
 type worker struct {
 	Worker
-	told      bool    // on the list
-	room      float64 // slots; below 1: one job at a time, with pauses
-	use       float64 // our slots in flight
-	running   float64 // our slots that have started
-	peak      float64 // most of running ever
-	lists     [bands]queue
-	openAt    Time // end of a pause
-	base      Time // quickest start
-	pace      float64
-	fails     float64
-	distrust  bool
-	silent    bool
-	trialAt   Time
-	gap       Time    // between trials
-	coldSpent float64 // microseconds of work sent while cold and not yet drained from the budget
-	coldAt    Time
+	told     bool    // on the list
+	room     float64 // slots; below 1: one job at a time, with pauses
+	use      float64 // our slots in flight
+	running  float64 // our slots that have started
+	peak     float64 // most of running ever
+	lists    [bands]queue
+	openAt   Time // end of a pause
+	base     Time // quickest start
+	pace     float64
+	fails    float64
+	distrust bool
+	silent   bool
+	trialAt  Time
+	gap      Time     // between trials
+	coldLog  []wearAt // what it was sent while cold, over the last window
+}
+
+type wearAt struct {
+	at   Time
+	wear float64 // microseconds
 }
 
 // sign takes a worker's sign of life.
@@ -312,6 +316,17 @@
 	}
 }
 
+// kindOf tells what ready workers of a kind have shown: the most slots that ran at once, and the slowest pace.
+func (d *Dispatcher) kindOf(w *worker) (slots, pace float64) {
+	slots, pace = 1, d.pace
+	for _, p := range d.ready {
+		if p.Kind == w.Kind {
+			slots, pace = max(slots, p.peak), max(pace, p.pace)
+		}
+	}
+	return slots, pace
+}
+
 // sum adds up a figure of the ready workers.
 func (d *Dispatcher) sum(of func(*worker) float64) float64 {
 	total := 0.0
@@ -331,7 +346,7 @@
 func (d *Dispatcher) setTimer(j *job, at Time) {
 	d.serial++
 	j.timer = d.serial
-	d.timers.push(timer{at: max(at, d.now), j: j, serial: j.timer})
+	d.timers.push(timer{at: max(at, d.now+1), j: j, serial: j.timer})
 }
 
 // runTimers does all that is due and asks for a timer for the next.
