Give cold workers rare jobs at random moments, within a Poisson budget

Now each dispatcher's part is a rate, low enough that chance hardly ever brings too many jobs into one window, and each starts at a random moment.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -26,7 +26,8 @@
 	meanWeight = 0.02              // weight of the newest job in means over all workers
 	extraShare = 0.15              // further attempts for each landing: bounds retry storms
 	extraMost  = 10.0              // further attempts saved up at most
-	coldShare  = 0.7               // of our part of a cold worker's budget: few jobs make for chance
+	coldChance = 1.5               // of the root of a Poisson count: about one window in ten thousand holds more
+	coldMost   = 2.0               // jobs saved up for a cold worker at most
 	usualOver  = 10 * Second       // over which our usual traffic is taken
 	shareDepth = 1.0               // seconds of its quota that a tenant may send at once
 	sweepEvery = 50 * Millisecond  // rooms that open with time alone are looked at this often
@@ -54,7 +55,7 @@
 	w.use += j.need
 	d.inUse += j.need
 	if d.warmth(w) < 1 {
-		w.coldLog = append(w.coldLog, wearAt{d.now, d.wear(j, w)})
+		w.credit -= d.wear(j)
 	}
 	if w.distrust || w.silent {
 		w.gap = min(max(2*w.gap, trialGap), trialMost)
@@ -109,35 +110,24 @@
 	return d.s.ColdFrom + (1-d.s.ColdFrom)*float64(age)/float64(d.s.WarmWithin)
 }
 
-// coldBears keeps what a cold worker gets in a window within our part of what it bears, as if all sent alike.
+// coldBears gives each of the group an equal part of the jobs that a cold worker may get: so few that, with
+// everyone at moments of their own, chance hardly ever brings more into one window than it bears.
 func (d *Dispatcher) coldBears(j *job, w *worker) bool {
 	warmth := d.warmth(w)
 	if warmth >= 1 {
 		return true
 	}
-	size, _ := d.kindOf(w)
-	sent := d.wear(j, w)
-	for len(w.coldLog) > 0 && w.coldLog[0].at+d.s.FallWindow < d.now {
-		w.coldLog = w.coldLog[1:]
-	}
-	for _, l := range w.coldLog {
-		sent += l.wear
-	}
-	bears := d.s.FallMultiple * warmth * size * float64(d.s.FallWindow)
-	return sent <= coldShare*bears/float64(d.s.GroupSize)
+	size, pace := d.kindOf(w)
+	bears := d.s.FallMultiple * warmth * size * float64(d.s.FallWindow) / (d.meanWork * pace)
+	jobs := max(0, math.Sqrt(bears+1)-coldChance) // its square: the Poisson mean that stays within bears
+	rate := jobs * jobs / float64(d.s.FallWindow) / float64(d.s.GroupSize)
+	w.credit = min(coldMost, w.credit+rate*float64(d.now-w.creditAt))
+	w.creditAt = d.now
+	return w.credit >= d.wear(j)
 }
 
-// wear is a job's run time on the slowest of w's kind. A small job counts as a mean one: each wears a cold
-// worker, and those that look small would go first.
-func (d *Dispatcher) wear(j *job, w *worker) float64 {
-	pace := d.pace
-	for _, p := range d.ready {
-		if p.Kind == w.Kind {
-			pace = max(pace, p.pace)
-		}
-	}
-	return max(d.expect(j), d.meanWork) * pace * j.need
-}
+// wear is a job in mean jobs. A small one counts as one: each wears the worker, and small ones would go first.
+func (d *Dispatcher) wear(j *job) float64 { return max(1, d.expect(j)/d.meanWork) * j.need }
 
 // ---- What a job is worth, and until when.
 
@@ -566,7 +556,8 @@
 
 // welcome sets what is believed of a worker that is new or has restarted.
 func (d *Dispatcher) welcome(w *worker) {
-	w.room, w.pace, w.fails, w.coldLog = roomStart, d.pace, 0, nil
+	w.room, w.pace, w.fails = roomStart, d.pace, 0
+	w.credit, w.creditAt = d.rng.Float64(), d.now // at random: news of a start reaches all at once
 	w.sign()
 	if len(d.ready) > 0 {
 		w.room = d.sum(func(p *worker) float64 { return p.room }) / float64(len(d.ready))
--- a/rules/state.go
+++ b/rules/state.go
@@ -90,13 +90,9 @@
 	distrust bool
 	silent   bool
 	trialAt  Time
-	gap      Time     // between trials
-	coldLog  []wearAt // what it was sent while cold, over the last window
-}
-
-type wearAt struct {
-	at   Time
-	wear float64 // microseconds
+	gap      Time    // between trials
+	credit   float64 // jobs it may be sent while cold
+	creditAt Time
 }
 
 // sign takes a worker's sign of life.
