--- a/rules/rules.go
+++ b/rules/rules.go
@@ -110,7 +110,7 @@
 	return d.s.ColdFrom + (1-d.s.ColdFrom)*float64(age)/float64(d.s.WarmWithin)
 }
 
-// coldBears gives each of the group an equal part of the jobs that a cold worker may get: so few that, with
+// coldBears gives each of the group an equal part of the jobs that a cold worker gets: so few that, with
 // everyone at moments of their own, chance hardly ever brings more into one window than it bears.
 func (d *Dispatcher) coldBears(j *job, w *worker) bool {
 	warmth := d.warmth(w)
@@ -119,14 +119,14 @@
 	}
 	size, pace := d.kindOf(w)
 	bears := d.s.FallMultiple * warmth * size * float64(d.s.FallWindow) / (d.meanWork * pace)
-	jobs := max(0, math.Sqrt(bears+1)-coldChance) // its square: the Poisson mean that stays within bears
+	jobs := max(0, math.Sqrt(bears+1)-coldChance) // squared: the Poisson mean that keeps within
 	rate := jobs * jobs / float64(d.s.FallWindow) / float64(d.s.GroupSize)
 	w.credit = min(coldMost, w.credit+rate*float64(d.now-w.creditAt))
 	w.creditAt = d.now
 	return w.credit >= d.wear(j)
 }
 
-// wear is a job in mean jobs. A small one counts as one: each wears the worker, and small ones would go first.
+// wear is a job in mean jobs. A small one counts as one: each wears a worker, and small ones would go first.
 func (d *Dispatcher) wear(j *job) float64 { return max(1, d.expect(j)/d.meanWork) * j.need }
 
 // ---- What a job is worth, and until when.
