--- a/rules/rules.go
+++ b/rules/rules.go
@@ -26,7 +26,7 @@
 	meanWeight = 0.02              // weight of the newest job in means over all workers
 	extraShare = 0.15              // further attempts for each landing: bounds retry storms
 	extraMost  = 10.0              // further attempts saved up at most
-	coldChance = 1.5               // of the root of a Poisson count: about one window in ten thousand holds more
+	coldChance = 1.5               // of the root of a Poisson count: one window in ten thousand holds more
 	coldMost   = 2.0               // jobs saved up for a cold worker at most
 	usualOver  = 10 * Second       // over which our usual traffic is taken
 	shareDepth = 1.0               // seconds of its quota that a tenant may send at once
@@ -436,7 +436,7 @@
 	if w.base == 0 {
 		return 5 * queueSlack
 	}
-	return 4*w.base + queueSlack
+	return 2*w.base + queueSlack
 }
 
 func (d *Dispatcher) started(j *job, a *attempt) {
