--- a/rules/rules.go
+++ b/rules/rules.go
@@ -11,7 +11,7 @@
 	joinTick   = 10 * Millisecond  // no room for this long: further workers join the picks
 	crossWait  = 2 * Second / 10   // longer wait, times the price of a crossing, before other zones do
 	roomStart  = 2.0               // slots; every dispatcher takes this of a worker whose size nobody knows
-	roomStep   = 1.0               // slots of room for each slot of success at the room
+	roomStep   = 0.5               // slots of room for each slot of success at the room
 	roomFloor  = 1.0 / 8           // slots; a job now and then keeps a worker's notes coming
 	pauseCut   = 0.75              // factor on a room of one job that queued behind others
 	queueSlack = 40 * Millisecond  // a start this far past four of the quickest (new connection): a queue
