Believe hints as far as they have told of run times

Told from waiting by run over hint: 6.6 for the late ones, 1.5 for the others. A regression of logarithms shrinks a hint towards the mean.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -139,6 +139,17 @@
 	return j.class.run
 }
 
+// believe shrinks a hint towards the mean hint as far as hints have told little of run times (a regression of
+// logarithms): it guards against rough hints, by which long jobs seem late and short ones in time.
+func (c *classState) believe(hint Time) Time {
+	if hint <= 0 {
+		return 0
+	}
+	c.hints += (math.Log(float64(hint)) - c.hints) * meanWeight
+	trust := min(1, max(0, c.hintCov/c.hintVar))
+	return Time(math.Exp(c.hints + trust*(math.Log(float64(hint))-c.hints)))
+}
+
 // until is the last moment at which a send can earn what the job's band stands for: its full worth on a usual
 // worker, on the quickest if it is a heavy job; late, an end before the client gives up.
 func (d *Dispatcher) until(j *job) Time {
@@ -512,7 +523,7 @@
 	if j.work == 0 {
 		weight /= 4 // without hints a long run mostly means a long job
 	}
-	j.class.run += (run - j.class.run) * meanWeight
+	j.class.learn(j.hint, run)
 	d.learnPace(w, run/max(d.expect(j), 1), weight)
 	d.pace += (run/max(d.expect(j), 1) - d.pace) * meanWeight
 	if atRoom && !a.queued {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -819,3 +819,39 @@
 		t.Errorf("Settings is a %v", k)
 	}
 }
+
+// hintedRuns feeds a dispatcher runs whose hints mislead by turns or not at all.
+func hintedRuns(t *testing.T, rough bool) *desk {
+	k := newDesk(t, settings(), fleet(4)...)
+	for i := range 200 {
+		hint, run := 100*ms, 100*ms
+		if i%2 == 0 {
+			hint = 900 * ms
+		}
+		if i%4 < 2 && rough || i%2 == 0 && !rough {
+			run = 900 * ms
+		}
+		id, acts := k.land(safe, hint)
+		if len(acts) == 0 {
+			acts = k.wait(100 * ms)
+		}
+		if count(acts, Send) == 1 {
+			k.wait(ms)
+			k.run(id, run)
+		}
+	}
+	return k
+}
+
+func TestHintsAreBelievedAsFarAsTheyTold(t *testing.T) {
+	good, rough := hintedRuns(t, false), hintedRuns(t, true)
+	for _, c := range []struct {
+		name     string
+		k        *desk
+		min, max Time
+	}{{"good hints", good, 750 * ms, 950 * ms}, {"hints that tell nothing", rough, 200 * ms, 450 * ms}} {
+		if got := c.k.d.classes[safe].believe(900 * ms); got < c.min || got > c.max {
+			t.Errorf("%s: a hint of 0.9 s is taken for %v us, want %v to %v", c.name, got, c.min, c.max)
+		}
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -34,6 +34,7 @@
 	class    *classState
 	tenant   *tenantState // nil: none
 	need     float64      // slots, or memory units if that is more
+	hint     Time         // the work told, 0: none
 	work     Time         // expected, on a standard core; 0: not told
 	landed   Time
 	end      Time // the last moment for an answer
@@ -66,7 +67,21 @@
 
 type classState struct {
 	Class
-	run float64 // mean run time, microseconds
+	run              float64 // mean run time, microseconds
+	hints, logRun    float64 // means of the logarithms of hints and run times
+	hintVar, hintCov float64 // and how they go together
+}
+
+// learn takes one run time into the means of its class, and with the hint it had into how hints and run times go
+// together.
+func (c *classState) learn(hint Time, run float64) {
+	c.run += (run - c.run) * meanWeight
+	if hint > 0 {
+		x, y := math.Log(float64(hint))-c.hints, math.Log(run+1)-c.logRun
+		c.hintVar += (x*x - c.hintVar) * meanWeight
+		c.hintCov += (x*y - c.hintCov) * meanWeight
+		c.logRun += y * meanWeight
+	}
 }
 
 type tenantState struct {
@@ -145,7 +160,9 @@
 		askWait: askAgain, pace: 1, best: 1, extra: extraMost}
 	for _, c := range s.Classes {
 		d.meanWork = max(d.meanWork, float64(c.Aim))
-		d.classes = append(d.classes, classState{Class: c, run: float64(c.Aim)})
+		aim := math.Log(float64(max(c.Aim, 1)))
+		d.classes = append(d.classes, classState{Class: c, run: float64(c.Aim), hints: aim, logRun: aim,
+			hintVar: 1, hintCov: 1})
 	}
 	for _, t := range s.Tenants {
 		d.tenants = append(d.tenants, tenantState{Tenant: t})
@@ -244,8 +261,9 @@
 	if n := len(d.pool); n > 0 {
 		j, d.pool = d.pool[n-1], d.pool[:n-1]
 	}
-	*j = job{id: e.Request, class: &d.classes[e.Class], need: max(float64(e.Slots), e.Memory, 1), work: e.Work,
+	*j = job{id: e.Request, class: &d.classes[e.Class], need: max(float64(e.Slots), e.Memory, 1), hint: e.Work,
 		landed: d.now, end: d.now + e.Left - d.s.Tick, open: true, attempts: j.attempts[:0]}
+	j.work = j.class.believe(j.hint)
 	if e.Tenant >= 0 && e.Tenant < len(d.tenants) {
 		j.tenant = &d.tenants[e.Tenant]
 	}
