Let classes that earn less for their time yield sooner to a backlog

A class with late worth that earns less counts the backlog by as much longer, so it goes behind first.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -213,7 +213,11 @@
 	if d.overShare(j, retry) {
 		j.band = behind
 	}
-	if d.now+d.backlog(j) > d.until(j) && !d.demote(j) {
+	wait := d.backlog(j)
+	if j.class.LateWorth > 0 { // what earns less for its time yields first, and still has its late worth
+		wait = Time(float64(wait) * d.bestWorth() / d.worthRate(j.class))
+	}
+	if d.now+wait > d.until(j) && !d.demote(j) {
 		d.finish(j) // guards against queues in which all end late, and waits that come to nothing
 		return
 	}
@@ -270,10 +274,8 @@
 	if !d.maySend(j, w) || j.class.Kind >= 0 && w.Kind != j.class.Kind {
 		return false
 	}
-	for i := range j.attempts {
-		if j.attempts[i].w == w && len(d.ready) > 1 {
-			return false // guards against a worker that fails one job again and again
-		}
+	if j.triedAt(w) && len(d.ready) > 1 {
+		return false // guards against a worker that fails one job again and again
 	}
 	if w.distrust || w.silent {
 		// Guards against a black hole: a worker that errs or hangs always has room.
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -855,3 +855,21 @@
 		}
 	}
 }
+
+func TestWhatEarnsLessYieldsFirst(t *testing.T) {
+	s := settings()
+	s.WorthByWork, s.Classes[keyedAll].Worth = true, 5
+	k := newDesk(t, s, fleet(1)...)
+	for range 2 {
+		id, _ := k.sent(safe, 200*ms)
+		k.start(id, 0)
+	}
+	for range 3 {
+		k.land(keyedAll, 200*ms)
+	}
+	low, _ := k.land(safe, 200*ms)
+	high, _ := k.land(keyedAll, 200*ms)
+	if l, h := k.d.job(low), k.d.job(high); l == nil || h == nil || l.band != behind || h.band != onTime {
+		t.Fatalf("with the same backlog: low worth %+v, high worth %+v", l, h)
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -56,6 +56,15 @@
 	return false
 }
 
+func (j *job) triedAt(w *worker) bool {
+	for i := range j.attempts {
+		if j.attempts[i].w == w {
+			return true
+		}
+	}
+	return false
+}
+
 func (j *job) mayHaveRun() bool {
 	for i := range j.attempts {
 		if !j.attempts[i].neverRan {
@@ -195,6 +204,11 @@
 	if s.Zone < -1 || s.Zone >= s.Zones {
 		return fmt.Errorf("Zone: %d is out of range", s.Zone)
 	}
+	for i, c := range s.Classes {
+		if !(c.Worth >= 0) {
+			return fmt.Errorf("Classes[%d].Worth: %v is negative", i, c.Worth)
+		}
+	}
 	if s.GroupSize < 1 || s.MaxAttempts < 1 {
 		return errors.New("GroupSize or MaxAttempts: less than 1")
 	}
@@ -312,6 +326,22 @@
 	}
 }
 
+// worthRate is what a class earns for the time it takes.
+func (d *Dispatcher) worthRate(c *classState) float64 {
+	if d.s.WorthByWork {
+		return max(c.Worth, 1e-9)
+	}
+	return max(c.Worth/c.run, 1e-9)
+}
+
+func (d *Dispatcher) bestWorth() float64 {
+	best := 0.0
+	for i := range d.classes {
+		best = max(best, d.worthRate(&d.classes[i]))
+	}
+	return best
+}
+
 // moveEntries gives each held job's entry at a worker that drains or is gone a new pick.
 func (d *Dispatcher) moveEntries() {
 	for _, w := range d.workers {
