--- a/rules/rules.go
+++ b/rules/rules.go
@@ -14,7 +14,7 @@
 	roomStep   = 0.5               // slots of room for each slot of success at the room
 	roomFloor  = 1.0 / 8           // slots; a job now and then keeps a worker's notes coming
 	pauseCut   = 0.75              // factor on a room of one job that queued behind others
-	queueSlack = 40 * Millisecond  // a start this far past four of the quickest (new connection): a queue
+	queueSlack = 40 * Millisecond  // a start this far past two of the quickest: a queue at the worker
 	stallSlack = 400 * Millisecond // a progress note later than this is no pause: the worker stands still
 	failWeight = 0.2               // weight of the newest outcome in a worker's share of failures
 	failMargin = 0.25              // share of failures above twice the peers': distrust
@@ -24,6 +24,7 @@
 	slowFrom   = 1.5               // times the mean pace: such a worker gets no job that would end late there
 	lateRoom   = 1.5               // expected runs that must fit in before the client gives up
 	meanWeight = 0.02              // weight of the newest job in means over all workers
+	usualRuns  = 0.005             // weight of the newest run in its class's usual run: slowdowns pass sooner
 	extraShare = 0.15              // further attempts for each landing: bounds retry storms
 	extraMost  = 10.0              // further attempts saved up at most
 	coldChance = 1.5               // of the root of a Poisson count: one window in ten thousand holds more
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -873,3 +873,21 @@
 		t.Fatalf("with the same backlog: low worth %+v, high worth %+v", l, h)
 	}
 }
+
+func TestSharedSlowdownShowsInPaceNotInUsualRuns(t *testing.T) {
+	k := newDesk(t, settings(), fleet(2)...)
+	run := 100 * ms
+	for i := range 160 {
+		if i == 100 {
+			run = 300 * ms // all at once, for a while
+		}
+		id, acts := k.land(safe, 0)
+		if count(append(acts, k.wait(20*ms)...), Send) == 1 {
+			k.run(id, run)
+		}
+	}
+	usual := k.d.classes[safe].run
+	if usual > 170e3 || k.d.pace < 1.4 {
+		t.Fatalf("usual run %v us, pace %v after 60 runs three times as long", usual, k.d.pace)
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -76,7 +76,8 @@
 
 type classState struct {
 	Class
-	run              float64 // mean run time, microseconds
+	run              float64 // usual run time, microseconds: too slow to follow a passing slowdown
+	runs             float64
 	hints, logRun    float64 // means of the logarithms of hints and run times
 	hintVar, hintCov float64 // and how they go together
 }
@@ -84,7 +85,8 @@
 // learn takes one run time into the means of its class, and with the hint it had into how hints and run times go
 // together.
 func (c *classState) learn(hint Time, run float64) {
-	c.run += (run - c.run) * meanWeight
+	c.runs++
+	c.run += (run - c.run) * max(usualRuns, 1/c.runs)
 	if hint > 0 {
 		x, y := math.Log(float64(hint))-c.hints, math.Log(run+1)-c.logRun
 		c.hintVar += (x*x - c.hintVar) * meanWeight
