--- a/rules/rules.go
+++ b/rules/rules.go
@@ -21,7 +21,6 @@
 	trialGap   = 500 * Millisecond // between the first trials of a worker that is distrusted or silent
 	trialMost  = 4 * Second        // between its trials at the most: they double
 	paceWeight = 0.2               // weight of the newest run in a worker's pace
-	slowFrom   = 1.5               // times the mean pace: such a worker gets no job that would end late there
 	lateRoom   = 1.5               // expected runs that must fit in before the client gives up
 	meanWeight = 0.02              // weight of the newest job in means over all workers
 	usualRuns  = 0.005             // weight of the newest run in its class's usual run: slowdowns pass sooner
@@ -283,9 +282,6 @@
 		return w.use == 0 && d.now >= w.trialAt && j.class.Effect != Unsafe
 	}
 	run := Time(d.expect(j) * w.pace)
-	if j.band == onTime && d.now+run > j.aimAt && w.pace > slowFrom*d.pace {
-		return false // guards against a slow worker, on which the job would end late
-	}
 	if (j.band == behind || d.now+run > j.aimAt) && d.now+Time(lateRoom*float64(run)) > j.end {
 		return false // guards against work that the client gives up on and that may run on at the worker
 	}
@@ -439,9 +435,6 @@
 func (d *Dispatcher) progressed(j *job, a *attempt, e *Event) {
 	a.noteAt, a.stalled = d.now, false
 	a.w.sign()
-	if run := float64(d.now - a.startedAt); a.startedAt > 0 && e.Done > 0.02 && j.work > 0 {
-		d.learnPace(a.w, max(a.w.pace, run/e.Done/d.expect(j)), paceWeight/2)
-	}
 	d.schedule(j)
 }
 
@@ -517,10 +510,6 @@
 func (d *Dispatcher) succeeded(j *job, a *attempt, atRoom bool) {
 	w := a.w
 	w.judge(0)
-	if w.distrust {
-		w.judge(0) // trials are few: each counts for three
-		w.judge(0)
-	}
 	w.sign()
 	run, weight := float64(d.now-max(a.startedAt, a.sentAt)), paceWeight
 	if j.work == 0 {
