--- a/rules/rules.go
+++ b/rules/rules.go
@@ -559,7 +559,10 @@
 
 // welcome sets what is believed of a worker that is new or has restarted.
 func (d *Dispatcher) welcome(w *worker) {
-	w.room, w.pace, w.fails = roomStart, d.pace, 0
+	w.room, w.fails = roomStart, 0
+	if w.pace == 0 {
+		w.pace = d.pace // one that restarts is the same machine
+	}
 	w.credit, w.creditAt = d.rng.Float64(), d.now // at random: news of a start reaches all at once
 	w.sign()
 	if len(d.ready) > 0 {
--- a/rules/state.go
+++ b/rules/state.go
@@ -364,12 +364,15 @@
 
 // kindOf tells what ready workers of a kind have shown: the most slots that ran at once, and the slowest pace.
 func (d *Dispatcher) kindOf(w *worker) (slots, pace float64) {
-	slots, pace = 1, d.pace
+	slots, pace = 1, 0
 	for _, p := range d.ready {
 		if p.Kind == w.Kind {
 			slots, pace = max(slots, p.peak), max(pace, p.pace)
 		}
 	}
+	if pace == 0 {
+		pace = d.pace
+	}
 	return slots, pace
 }
 
