Cap rooms by fresh reports of free slots

The design's cap, for deployments whose reports arrive: our slots plus the free ones told, for 0.2 s.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -15,12 +15,14 @@
 	roomFloor  = 1.0 / 8           // slots; a job now and then keeps a worker's notes coming
 	pauseCut   = 0.75              // factor on a room of one job that queued behind others
 	queueSlack = 40 * Millisecond  // a start this far past two of the quickest: a queue at the worker
+	reportLife = 200 * Millisecond // a report of free slots counts this long: slots turn over within a run
 	stallSlack = 400 * Millisecond // a progress note later than this is no pause: the worker stands still
 	failWeight = 0.2               // weight of the newest outcome in a worker's share of failures
 	failMargin = 0.25              // share of failures above twice the peers': distrust
 	trialGap   = 500 * Millisecond // between the first trials of a worker that is distrusted or silent
 	trialMost  = 4 * Second        // between its trials at the most: they double
 	paceWeight = 0.2               // weight of the newest run in a worker's pace
+	paceMost   = 20.0              // times the mean pace that one run counts for at most
 	lateRoom   = 1.5               // expected runs that must fit in before the client gives up
 	meanWeight = 0.02              // weight of the newest job in means over all workers
 	usualRuns  = 0.005             // weight of the newest run in its class's usual run: slowdowns pass sooner
@@ -285,6 +287,9 @@
 	if (j.band == behind || d.now+run > j.aimAt) && d.now+Time(lateRoom*float64(run)) > j.end {
 		return false // guards against work that the client gives up on and that may run on at the worker
 	}
+	if d.now < w.capUntil && w.use+j.need > w.cap {
+		return false
+	}
 	return w.use+j.need <= w.room || w.use == 0 && d.now >= w.openAt
 }
 
@@ -432,10 +437,11 @@
 
 // ---- What workers tell, and how they are judged by it.
 
-func (d *Dispatcher) progressed(j *job, a *attempt, e *Event) {
-	a.noteAt, a.stalled = d.now, false
-	a.w.sign()
-	d.schedule(j)
+// reported caps a room at our slots plus the free ones told. An old report neither caps nor opens a room.
+func (d *Dispatcher) reported(w *worker, r *Report) {
+	if r.Known && r.FreeSlots >= 0 {
+		w.cap, w.capUntil = w.use+r.FreeSlots, d.now+reportLife
+	}
 }
 
 // startBy is how long after its send a job has started if nothing waits at the worker.
@@ -484,6 +490,7 @@
 	if w.room < 1 {
 		w.openAt = d.now + Time(d.meanWork*d.pace*(1/w.room-1))
 	}
+	d.reported(w, &e.Report)
 	switch e.Result {
 	case OK:
 		d.succeeded(j, a, atRoom)
@@ -516,17 +523,14 @@
 		weight /= 4 // without hints a long run mostly means a long job
 	}
 	j.class.learn(j.hint, run)
-	d.learnPace(w, run/max(d.expect(j), 1), weight)
-	d.pace += (run/max(d.expect(j), 1) - d.pace) * meanWeight
+	pace := min(run/max(d.expect(j), 1), paceMost*d.pace)
+	w.pace += (pace - w.pace) * weight
+	d.pace += (pace - d.pace) * meanWeight
 	if atRoom && !a.queued {
 		w.room += min(w.room, j.need*roomStep)
 	}
 }
 
-func (d *Dispatcher) learnPace(w *worker, pace, weight float64) {
-	w.pace += (min(pace, 20*d.pace) - w.pace) * weight
-}
-
 func (w *worker) judge(failed float64) { w.fails += (failed - w.fails) * failWeight }
 
 // suspect leaves a worker that gives no sign to single trials, further and further apart, until it gives one.
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -891,3 +891,19 @@
 		t.Fatalf("usual run %v us, pace %v after 60 runs three times as long", usual, k.d.pace)
 	}
 }
+
+func TestFreshReportCapsRoomAnOldOneDoesNot(t *testing.T) {
+	k := newDesk(t, settings(), fleet(1)...)
+	a, _ := k.sent(safe, 100*ms)
+	k.start(a, 0)
+	k.do(Event{Kind: Probed, Worker: 0, Report: Report{Known: true, FreeSlots: 0, Queue: -1}})
+	id, acts := k.land(safe, 100*ms)
+	want(t, acts)
+	acts = k.wait(reportLife + sweepEvery + 2*ms)
+	if len(acts) != 1 || acts[0].Kind != Send || acts[0].Request != id {
+		t.Fatalf("got %v, want the held job sent when the report is old", acts)
+	}
+	k.do(Event{Kind: Probed, Worker: 0, Report: Report{Known: true, FreeSlots: 1e9, Queue: -1}})
+	_, acts = k.land(safe, 100*ms)
+	want(t, acts) // a report opens no room
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -109,7 +109,9 @@
 	running  float64 // our slots that have started
 	peak     float64 // most of running ever
 	lists    [bands]queue
-	openAt   Time // end of a pause
+	openAt   Time    // end of a pause
+	cap      float64 // slots, by the last report
+	capUntil Time
 	base     Time // quickest start
 	pace     float64
 	fails    float64
@@ -253,6 +255,10 @@
 		if j != nil && j.open {
 			d.close(j)
 		}
+	case Probed:
+		if w := d.worker(e.Worker); w != nil {
+			d.reported(w, &e.Report)
+		}
 	case TimerFired:
 		if d.armedAt <= d.now {
 			d.armedAt = never
@@ -272,6 +278,13 @@
 	return nil
 }
 
+func (d *Dispatcher) worker(id WorkerID) *worker {
+	if id >= 0 && int(id) < len(d.workers) {
+		return d.workers[id]
+	}
+	return nil
+}
+
 func (d *Dispatcher) newJob(e *Event) *job {
 	j := &job{}
 	if n := len(d.pool); n > 0 {
@@ -297,7 +310,9 @@
 	case e.Kind == Started && a.startedAt == 0:
 		d.started(j, a)
 	case e.Kind == Progressed:
-		d.progressed(j, a, e)
+		a.noteAt, a.stalled = d.now, false
+		a.w.sign()
+		d.schedule(j)
 	case e.Kind == AnswerBegan:
 		a.noteAt, j.end = d.now, never
 	case e.Kind == Ended:
