Count the job itself in the use of a room

Cause (crowded incidents): where a dispatcher has few jobs, nearly all picks use nothing of their rooms and the choice was a toss. With the job counted, a larger room wins, and what was learned of the others' load counts.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -264,7 +264,7 @@
 	if a == nil {
 		return b
 	}
-	x, y := a.use/a.room, b.use/b.room
+	x, y := (a.use+j.need)/a.room, (b.use+j.need)/b.room
 	if y < x || y == x && d.rng.IntN(2) == 0 {
 		return b
 	}
