--- a/rules/rules.go
+++ b/rules/rules.go
@@ -19,7 +19,7 @@
 	stallSlack = 400 * Millisecond // a progress note later than this is no pause: the worker stands still
 	failWeight = 0.2               // weight of the newest outcome in a worker's share of failures
 	failMargin = 0.25              // share of failures above twice the peers': distrust
-	trialGap   = 500 * Millisecond // between the first trials of a worker that is distrusted or silent
+	trialGap   = 250 * Millisecond // between the first trials of a worker that is distrusted or silent
 	trialMost  = 4 * Second        // between its trials at the most: they double
 	paceWeight = 0.2               // weight of the newest run in a worker's pace
 	paceMost   = 20.0              // times the mean pace that one run counts for at most
