--- a/rules/rules.go
+++ b/rules/rules.go
@@ -28,7 +28,7 @@
 	usualRuns  = 0.005             // weight of the newest run in its class's usual run: slowdowns pass sooner
 	extraShare = 0.15              // further attempts for each landing: bounds retry storms
 	extraMost  = 10.0              // further attempts saved up at most
-	coldChance = 1.5               // of the root of a Poisson count: one window in ten thousand holds more
+	coldChance = 1.2               // of the root of a count by chance: one window in hundreds holds more
 	coldMost   = 2.0               // jobs saved up for a cold worker at most
 	usualOver  = 10 * Second       // over which our usual traffic is taken
 	shareDepth = 1.0               // seconds of its quota that a tenant may send at once
@@ -121,8 +121,9 @@
 	}
 	size, pace := d.kindOf(w)
 	bears := d.s.FallMultiple * warmth * size * float64(d.s.FallWindow) / (d.meanWork * pace)
-	jobs := max(0, math.Sqrt(bears+1)-coldChance) // squared: the Poisson mean that keeps within
-	rate := jobs * jobs / float64(d.s.FallWindow) / float64(d.s.GroupSize)
+	root, group := max(0, math.Sqrt(bears+1)-coldChance), float64(d.s.GroupSize)
+	jobs := max(root*root, bears-coldMost*group) // that many by chance, or this many whatever happens
+	rate := jobs / float64(d.s.FallWindow) / group
 	w.credit = min(coldMost, w.credit+rate*float64(d.now-w.creditAt))
 	w.creditAt = d.now
 	return w.credit >= d.wear(j)
