--- a/rules/rules.go
+++ b/rules/rules.go
@@ -28,7 +28,7 @@
 	usualRuns  = 0.005             // weight of the newest run in its class's usual run: slowdowns pass sooner
 	extraShare = 0.15              // further attempts for each landing: bounds retry storms
 	extraMost  = 10.0              // further attempts saved up at most
-	coldChance = 1.2               // of the root of a count by chance: one window in hundreds holds more
+	coldChance = 1.0               // of the root of a count by chance: one window in hundreds holds more
 	coldMost   = 2.0               // jobs saved up for a cold worker at most
 	usualOver  = 10 * Second       // over which our usual traffic is taken
 	shareDepth = 1.0               // seconds of its quota that a tenant may send at once
