Grow a room whenever no further job fits, so that none sticks at a fraction

Cause: a success counted as at the room only if use came within half a slot of it, so a room of 1.75 or 2.75 never grew again. That, not the step, is why quarter and three-quarter steps starved workers.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -481,7 +481,7 @@
 
 func (d *Dispatcher) ended(j *job, a *attempt, e *Event) {
 	w := a.w
-	atRoom := w.use+0.5 >= w.room
+	atRoom := w.use+j.need > w.room
 	a.out = false
 	w.use -= j.need
 	d.inUse -= j.need
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -907,3 +907,24 @@
 	_, acts = k.land(safe, 100*ms)
 	want(t, acts) // a report opens no room
 }
+
+// A room with a fraction that no job fits into must grow like any other.
+func TestRoomsNeverStickAtAFraction(t *testing.T) {
+	for _, room := range []float64{0.6, 1.3, 1.75, 2.75, 3.9} {
+		k := newDesk(t, settings(), fleet(1)...)
+		w := k.d.workers[0]
+		w.room = room
+		var ids []RequestID
+		for w.use == 0 || w.use+1 <= room {
+			id, _ := k.sent(safe, 100*ms)
+			ids = append(ids, id)
+		}
+		k.wait(ms)
+		k.start(ids[0], 0)
+		k.wait(50 * ms)
+		k.end(ids[0], 0, OK)
+		if w.room <= room {
+			t.Errorf("room %v after a success at a room of %v", w.room, room)
+		}
+	}
+}
