--- a/rules/rules.go
+++ b/rules/rules.go
@@ -385,7 +385,7 @@
 	if j.ticket != 0 && d.now >= d.until(j) {
 		d.unhold(j)
 		if !d.demote(j) {
-			d.finishIdle(j)
+			d.finish(j)
 		} else {
 			d.hold(j)
 		}
@@ -397,13 +397,6 @@
 	}
 }
 
-// finishIdle ends a job unless an attempt is out that may still answer.
-func (d *Dispatcher) finishIdle(j *job) {
-	if !j.isOut() {
-		d.finish(j)
-	}
-}
-
 // overdue judges an attempt whose start or progress should have been told of by now.
 func (d *Dispatcher) overdue(j *job, a *attempt) {
 	if a.startedAt == 0 && d.s.TellsStart && !a.queued && d.now >= a.sentAt+a.w.startBy() {
@@ -413,21 +406,17 @@
 	if a.startedAt > 0 && d.s.Progress > 0 && !a.stalled && d.now >= a.noteAt+d.s.Progress+stallSlack {
 		a.stalled = true
 		d.suspect(a.w) // guards against a worker that takes jobs and answers none
-		d.again(j)
 	}
 }
 
 // again holds a job for a further attempt where rules, budget and time allow one; it reports whether it does.
 func (d *Dispatcher) again(j *job) bool {
-	if j.ticket != 0 {
-		return true
-	}
 	late := d.now >= d.until(j)
 	if !j.open || late && !d.demote(j) || len(j.attempts) >= d.s.MaxAttempts {
 		return false
 	}
 	if j.mayHaveRun() {
-		if j.class.Effect == Unsafe || j.isOut() && !d.s.SecondCopies || d.extra < 1 {
+		if j.class.Effect == Unsafe || d.extra < 1 {
 			return false // the budget guards against a storm of attempts when all are slow or failing
 		}
 		d.extra--
@@ -510,7 +499,7 @@
 	if e.Final || !j.open {
 		d.close(j)
 	} else if d.now >= j.end || !d.again(j) {
-		d.finishIdle(j)
+		d.finish(j)
 	}
 	d.serve(w)
 }
