--- a/rules/random_test.go
+++ b/rules/random_test.go
@@ -168,6 +168,7 @@
 	s.SecondCopies = seed%2 == 0
 	s.ListOnRequest = seed%3 == 0
 	s.TellsStart = seed%5 != 0
+	s.CanProbe = seed%4 < 2
 	s.GroupSize = 1 + r.IntN(4)
 	s.PriceCross = float64(r.IntN(3)) * 0.05
 	s.RetryAfter, s.MaxRetryAfter = true, Second
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -282,7 +282,7 @@
 	}
 	if w.distrust || w.silent {
 		// Guards against a black hole: a worker that errs or hangs always has room.
-		return w.use == 0 && d.now >= w.trialAt && j.class.Effect != Unsafe
+		return w.use == 0 && d.now >= w.trialAt && j.class.Effect != Unsafe && !(w.lost && d.s.CanProbe)
 	}
 	run := Time(d.expect(j) * w.pace)
 	if (j.band == behind || d.now+run > j.aimAt) && d.now+Time(lateRoom*float64(run)) > j.end {
@@ -471,7 +471,7 @@
 func (d *Dispatcher) ended(j *job, a *attempt, e *Event) {
 	w := a.w
 	atRoom := w.use+j.need > w.room
-	a.out = false
+	a.out, a.neverRan = false, e.Result == Full || e.Result == NotSent || e.Result == Unreachable
 	w.use -= j.need
 	d.inUse -= j.need
 	if a.startedAt > 0 {
@@ -485,12 +485,9 @@
 	case OK:
 		d.succeeded(j, a, atRoom)
 	case Full:
-		a.neverRan = true
 		w.room = max(roomFloor, min(w.room, w.use))
-	case NotSent:
-		a.neverRan = true
 	case Unreachable:
-		a.neverRan = true
+		w.lost, d.anyLost = true, true
 		d.suspect(w) // guards against a cut link or a dead worker: they fail all and always have room
 	case Failed, Disconnected:
 		w.judge(1)
@@ -530,6 +527,19 @@
 	}
 }
 
+// probeLost tries workers out of reach by probes where these are allowed: a job would lose time.
+func (d *Dispatcher) probeLost() {
+	d.anyLost = false
+	for _, w := range d.ready {
+		d.anyLost = d.anyLost || w.lost
+		if w.lost && d.s.CanProbe && d.now >= w.trialAt {
+			w.gap = min(2*w.gap, trialMost)
+			w.trialAt = d.now + w.gap
+			d.emit(Action{Kind: Probe, Worker: w.ID})
+		}
+	}
+}
+
 // trust marks workers that fail far more than their peers, at most a third of the ready ones: a trouble that
 // all share is no worker's fault.
 func (d *Dispatcher) trust() {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -925,3 +925,41 @@
 		}
 	}
 }
+
+func TestProbesFindLostWorkersAgain(t *testing.T) {
+	s := settings()
+	s.CanProbe = true
+	k := newDesk(t, s, fleet(2)...)
+	var lost WorkerID
+	for range 10 {
+		id, w := k.sent(safe, 20*ms)
+		if lost = w; w == 0 {
+			k.end(id, 0, Unreachable)
+			break
+		}
+		k.run(id, 20*ms)
+	}
+	if lost != 0 || !k.d.workers[0].lost {
+		t.Fatal("worker 0 was never tried")
+	}
+	acts := k.wait(8 * Second)
+	if n := count(acts, Probe); n < 3 || n > 8 {
+		t.Fatalf("%d probes in eight seconds, want a few", n)
+	}
+	for range 5 {
+		_, acts := k.land(safe, 20*ms)
+		for _, a := range append(acts, k.wait(100*ms)...) {
+			if a.Kind == Send && a.Worker == 0 {
+				t.Fatal("a job was sent to a worker out of reach")
+			}
+		}
+	}
+	k.do(Event{Kind: Probed, Worker: 0, Result: Unreachable})
+	if !k.d.workers[0].lost {
+		t.Fatal("a failed probe cleared the worker")
+	}
+	k.do(Event{Kind: Probed, Worker: 0, Result: OK})
+	if k.d.workers[0].lost || k.d.workers[0].silent {
+		t.Fatal("a probe that came back did not clear the worker")
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -117,6 +117,7 @@
 	fails    float64
 	distrust bool
 	silent   bool
+	lost     bool // silent because no connection came up
 	trialAt  Time
 	gap      Time    // between trials
 	credit   float64 // jobs it may be sent while cold
@@ -124,7 +125,7 @@
 }
 
 // sign takes a worker's sign of life.
-func (w *worker) sign() { w.silent, w.gap = false, 0 }
+func (w *worker) sign() { w.silent, w.lost, w.gap = false, false, 0 }
 
 // sameGroup says whether two workers drop repeats of each other's jobs.
 func sameGroup(g Group, a, b *worker) bool {
@@ -154,6 +155,7 @@
 	serial   uint64
 	armedAt  Time
 	sweepAt  Time
+	anyLost  bool
 	pace     float64
 	best     float64 // pace of the quickest ready worker
 	meanWork float64 // of landed jobs
@@ -257,6 +259,9 @@
 		}
 	case Probed:
 		if w := d.worker(e.Worker); w != nil {
+			if e.Result == OK && w.lost {
+				w.sign()
+			}
 			d.reported(w, &e.Report)
 		}
 	case TimerFired:
@@ -425,9 +430,10 @@
 	}
 	if d.now >= d.sweepAt {
 		d.sweepAt = never
+		d.probeLost()
 		d.serveAll()
 	}
-	if d.sweepAt == never && d.waiting[onTime]+d.waiting[behind] > 0 {
+	if d.sweepAt == never && (d.anyLost || d.waiting[onTime]+d.waiting[behind] > 0) {
 		d.sweepAt = d.now + sweepEvery
 	}
 	next := min(d.sweepAt, d.askAt)
