Sharpen three tests that did not fail without what they test

Taking out the client's patience, the moving of entries and the kind of worker had gone unnoticed; now each fails a test. No change to the module.

--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -276,13 +276,21 @@
 	s := settings()
 	s.Classes[0].Kind = 1
 	k := newDesk(t, s, Worker{ID: 0, Kind: 0}, Worker{ID: 1, Kind: 1})
-	for range 2 {
+	sends := 0
+	for range 8 {
 		_, acts := k.land(safe, 100*ms)
-		acts = append(acts, k.wait(30*ms)...)
-		if len(acts) != 1 || acts[0].Worker != 1 {
-			t.Fatalf("got %v, want the worker of kind 1", acts)
+		for _, a := range append(acts, k.wait(15*ms)...) {
+			if a.Kind == Send {
+				sends++
+			}
+			if a.Kind == Send && a.Worker != 1 {
+				t.Fatalf("got %v, want the worker of kind 1", a)
+			}
 		}
 	}
+	if sends != 2 {
+		t.Fatalf("%d sends, want the two that the room allows", sends)
+	}
 }
 
 // Failures and the answers to them.
@@ -963,3 +971,32 @@
 		t.Fatal("a probe that came back did not clear the worker")
 	}
 }
+
+func TestLateWorkKeepsOffWorkersTooSlowForItsClient(t *testing.T) {
+	k := newDesk(t, settings(), fleet(2)...)
+	k.d.workers[0].pace, k.d.workers[1].use = 6, 100 // one has room but is slow, the other is full
+	_, acts := k.land(safe, 600*ms)
+	acts = append(acts, k.wait(2500*ms)...)
+	late := k.d.job(0)
+	if late == nil || late.band != behind {
+		t.Fatalf("the job is not held as late work: %v, %+v", acts, late)
+	}
+	for _, a := range acts {
+		if a.Kind == Send && k.now > 100*Second+Second {
+			t.Fatalf("got %v, want no send that takes 3.6 s with less left", a)
+		}
+	}
+}
+
+func TestEntriesGetANewPick(t *testing.T) {
+	s := settings()
+	s.PriceCross = 0.1 // picks stay in the own zone, worker 0's
+	k := newDesk(t, s, Worker{ID: 0, Zone: 0}, Worker{ID: 1, Zone: 1})
+	k.d.workers[0].use, k.d.workers[1].use = 100, 100
+	id, _ := k.land(safe, 100*ms)
+	k.do(Event{Kind: ListChange, Version: 2, Workers: []Worker{{ID: 0, State: Draining}}})
+	q := k.d.workers[1].lists[onTime]
+	if !slices.ContainsFunc(q.items[q.head:], func(e entry) bool { return e.live() && e.j.id == id }) {
+		t.Fatal("the held job has no entry at the worker that is left")
+	}
+}
