Say once what stood twice in the module, and decide in rules.go only

The moment by which a sign of an attempt is due, the readiness of a worker, the spacing of trials and the wait before other zones join each stood in two to four places; each is one function now. Two decisions had come to stand in state.go, dropping late news of the list and taking a returned probe for a sign of life; they are back in rules.go. Gone: a band check that no live entry could fail, an open check that the only caller had made, a parameter without use, an allocation for each landing although the pool had a job.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -44,7 +44,7 @@
 func (d *Dispatcher) maySend(j *job, w *worker) bool {
 	return j.open && d.now < j.end && len(j.attempts) < d.s.MaxAttempts && // rule one
 		d.mayRepeat(j, w) && // rule two
-		w.told && w.State == Ready && // rule three: not even within the grace
+		w.isReady() && // rule three: not even within the grace
 		d.coldBears(j, w) // rule four
 }
 
@@ -60,8 +60,7 @@
 		w.credit -= d.wear(j)
 	}
 	if w.distrust || w.silent {
-		w.gap = min(max(2*w.gap, trialGap), trialMost)
-		w.trialAt = d.now + w.gap
+		d.spaceTrials(w)
 	}
 	d.emit(Action{Kind: Send, Request: j.id, Worker: w.ID})
 	d.schedule(j)
@@ -134,14 +133,6 @@
 
 // ---- What a job is worth, and until when.
 
-// expect is a job's expected work in microseconds on a standard core.
-func (d *Dispatcher) expect(j *job) float64 {
-	if j.work > 0 {
-		return float64(j.work)
-	}
-	return j.class.run
-}
-
 // believe shrinks a hint towards the mean hint as far as hints have told little of run times (a regression of
 // logarithms): it guards against rough hints, by which long jobs seem late and short ones in time.
 func (c *classState) believe(hint Time) Time {
@@ -294,9 +285,9 @@
 	return w.use+j.need <= w.room || w.use == 0 && d.now >= w.openAt
 }
 
-// joinAfter is how long a job must have waited before w joins its picks.
-func (d *Dispatcher) joinAfter(w *worker) Time {
-	if w.Zone == d.s.Zone {
+// joinAfter is how long a job must have waited before workers of its own or of other zones join its picks.
+func (d *Dispatcher) joinAfter(far bool) Time {
+	if !far {
 		return joinTick
 	}
 	return joinTick + Time(d.s.PriceCross*float64(crossWait))
@@ -306,7 +297,7 @@
 func (d *Dispatcher) join(j *job) {
 	var best *worker
 	for _, w := range d.ready {
-		if d.now >= j.heldAt+d.joinAfter(w) {
+		if d.now >= j.heldAt+d.joinAfter(w.Zone != d.s.Zone) {
 			best = d.better(j, best, w)
 		}
 	}
@@ -317,21 +308,21 @@
 
 // serve sends held jobs to a worker while it has room: its own list's, then those whose picks it may join.
 func (d *Dispatcher) serve(w *worker) {
-	if !w.told || w.State != Ready {
+	if !w.isReady() {
 		return
 	}
 	for b := range bands {
-		for d.take(w, &w.lists[b], b, 0) || d.take(w, &d.held[b], b, d.joinAfter(w)) {
+		for d.take(w, &w.lists[b], 0) || d.take(w, &d.held[b], d.joinAfter(w.Zone != d.s.Zone)) {
 		}
 	}
 }
 
 // take sends the oldest job of a list that fits.
-func (d *Dispatcher) take(w *worker, q *queue, band int, age Time) bool {
+func (d *Dispatcher) take(w *worker, q *queue, age Time) bool {
 	q.trim()
 	seen := 0
 	for _, e := range q.items[q.head:] {
-		if !e.live() || e.j.band != band {
+		if !e.live() {
 			continue
 		}
 		if seen++; seen > scanMost || d.now < e.j.heldAt+age {
@@ -351,22 +342,14 @@
 	at := j.end
 	if j.ticket != 0 {
 		at = min(at, max(d.until(j), d.now+Millisecond))
-		far := j.heldAt + joinTick + Time(d.s.PriceCross*float64(crossWait))
-		if d.now < j.heldAt+joinTick {
-			at = min(at, j.heldAt+joinTick)
-		} else if d.now < far {
+		if near := j.heldAt + d.joinAfter(false); d.now < near {
+			at = min(at, near)
+		} else if far := j.heldAt + d.joinAfter(true); d.now < far {
 			at = min(at, far)
 		}
 	}
 	for i := range j.attempts {
-		a := &j.attempts[i]
-		switch {
-		case !a.out:
-		case a.startedAt == 0 && !a.queued && d.s.TellsStart:
-			at = min(at, a.sentAt+a.w.startBy())
-		case a.startedAt > 0 && !a.stalled && d.s.Progress > 0:
-			at = min(at, a.noteAt+d.s.Progress+stallSlack)
-		}
+		at = min(at, d.signDue(&j.attempts[i]))
 	}
 	d.setTimer(j, at)
 }
@@ -378,9 +361,7 @@
 		return
 	}
 	for i := range j.attempts {
-		if a := &j.attempts[i]; a.out {
-			d.overdue(j, a)
-		}
+		d.overdue(&j.attempts[i])
 	}
 	if j.ticket != 0 && d.now >= d.until(j) {
 		d.unhold(j)
@@ -397,13 +378,26 @@
 	}
 }
 
-// overdue judges an attempt whose start or progress should have been told of by now.
-func (d *Dispatcher) overdue(j *job, a *attempt) {
-	if a.startedAt == 0 && d.s.TellsStart && !a.queued && d.now >= a.sentAt+a.w.startBy() {
+// signDue is when an attempt's start, or its next progress, should have been told of at the latest.
+func (d *Dispatcher) signDue(a *attempt) Time {
+	if a.out && a.startedAt == 0 && !a.queued && d.s.TellsStart {
+		return a.sentAt + a.w.startBy()
+	}
+	if a.out && a.startedAt > 0 && !a.stalled && d.s.Progress > 0 {
+		return a.noteAt + d.s.Progress + stallSlack
+	}
+	return never
+}
+
+// overdue judges a worker by an attempt whose sign is due.
+func (d *Dispatcher) overdue(a *attempt) {
+	if d.now < d.signDue(a) {
+		return
+	}
+	if a.startedAt == 0 {
 		a.queued = true
 		a.w.cut()
-	}
-	if a.startedAt > 0 && d.s.Progress > 0 && !a.stalled && d.now >= a.noteAt+d.s.Progress+stallSlack {
+	} else {
 		a.stalled = true
 		d.suspect(a.w) // guards against a worker that takes jobs and answers none
 	}
@@ -411,8 +405,7 @@
 
 // again holds a job for a further attempt where rules, budget and time allow one; it reports whether it does.
 func (d *Dispatcher) again(j *job) bool {
-	late := d.now >= d.until(j)
-	if !j.open || late && !d.demote(j) || len(j.attempts) >= d.s.MaxAttempts {
+	if d.now >= d.until(j) && !d.demote(j) || len(j.attempts) >= d.s.MaxAttempts {
 		return false
 	}
 	if j.mayHaveRun() {
@@ -428,9 +421,13 @@
 // ---- What workers tell, and how they are judged by it.
 
 // reported caps a room at our slots plus the free ones told. An old report neither caps nor opens a room.
-func (d *Dispatcher) reported(w *worker, r *Report) {
-	if r.Known && r.FreeSlots >= 0 {
-		w.cap, w.capUntil = w.use+r.FreeSlots, d.now+reportLife
+// A probe that comes back shows that a worker out of reach takes connections, not that a hanging one works.
+func (d *Dispatcher) reported(w *worker, e *Event) {
+	if e.Kind == Probed && e.Result == OK && w.lost {
+		w.sign()
+	}
+	if e.Report.Known && e.Report.FreeSlots >= 0 {
+		w.cap, w.capUntil = w.use+e.Report.FreeSlots, d.now+reportLife
 	}
 }
 
@@ -480,7 +477,7 @@
 	if w.room < 1 {
 		w.openAt = d.now + Time(d.meanWork*d.pace*(1/w.room-1))
 	}
-	d.reported(w, &e.Report)
+	d.reported(w, e)
 	switch e.Result {
 	case OK:
 		d.succeeded(j, a, atRoom)
@@ -527,14 +524,19 @@
 	}
 }
 
+// spaceTrials puts a worker's next trial off, twice as far as the last.
+func (d *Dispatcher) spaceTrials(w *worker) {
+	w.gap = min(max(2*w.gap, trialGap), trialMost)
+	w.trialAt = d.now + w.gap
+}
+
 // probeLost tries workers out of reach by probes where these are allowed: a job would lose time.
 func (d *Dispatcher) probeLost() {
 	d.anyLost = false
 	for _, w := range d.ready {
 		d.anyLost = d.anyLost || w.lost
 		if w.lost && d.s.CanProbe && d.now >= w.trialAt {
-			w.gap = min(2*w.gap, trialMost)
-			w.trialAt = d.now + w.gap
+			d.spaceTrials(w)
 			d.emit(Action{Kind: Probe, Worker: w.ID})
 		}
 	}
@@ -563,19 +565,20 @@
 
 // welcome sets what is believed of a worker that is new or has restarted.
 func (d *Dispatcher) welcome(w *worker) {
-	w.room, w.fails = roomStart, 0
+	w.room, w.fails = d.meanRoom(roomStart), 0
 	if w.pace == 0 {
 		w.pace = d.pace // one that restarts is the same machine
 	}
 	w.credit, w.creditAt = d.rng.Float64(), d.now // at random: news of a start reaches all at once
 	w.sign()
-	if len(d.ready) > 0 {
-		w.room = d.sum(func(p *worker) float64 { return p.room }) / float64(len(d.ready))
-	}
 }
 
-// listNews moves entries off workers that drain or are gone, and sees to the watch.
+// listNews takes the list over, moves entries off workers that drain or are gone, and sees to the watch.
 func (d *Dispatcher) listNews(e *Event) {
+	if e.Version < d.version {
+		return // guards against late news that would bring a drained worker back
+	}
+	d.updateList(e)
 	d.askWait, d.askAt = askAgain, never
 	if d.s.ListOnRequest && e.Stale {
 		d.ask()
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -126,6 +126,30 @@
 	return append(out, k.end(id, 0, OK)...)
 }
 
+// sendsTo lands jobs one gap apart, ends every attempt at one worker with r and all others well, and counts the former.
+func (k *desk) sendsTo(worker WorkerID, jobs int, work, gap Time, r Result) int {
+	n := 0
+	for range jobs {
+		_, acts := k.land(safe, work)
+		acts = append(acts, k.wait(gap)...)
+		for i := 0; i < len(acts); i++ {
+			a := acts[i]
+			if a.Kind != Send {
+				continue
+			}
+			attempt := len(k.d.job(a.Request).attempts) - 1
+			if a.Worker == worker {
+				n++
+				acts = append(acts, k.end(a.Request, attempt, r)...)
+				continue
+			}
+			k.start(a.Request, attempt)
+			k.end(a.Request, attempt, OK)
+		}
+	}
+	return n
+}
+
 func count(acts []Action, kind ActionKind) int {
 	n := 0
 	for _, a := range acts {
@@ -410,9 +434,6 @@
 	for range 100 { // ten jobs of 100 ms a second, small ones among them
 		_, acts := k.land(safe, 20*ms+Time(k.next%2)*180*ms)
 		sends += count(append(acts, k.wait(100*ms)...), Send)
-		for _, a := range k.acts {
-			_ = a
-		}
 		for id := range k.next {
 			if j := k.d.job(id); j != nil && j.isOut() {
 				k.end(id, 0, OK)
@@ -433,25 +454,7 @@
 
 func TestQuickErrorsMakeNoBlackHole(t *testing.T) {
 	k := newDesk(t, settings(), fleet(6)...)
-	bad := 0
-	for range 200 {
-		_, acts := k.land(safe, 50*ms)
-		acts = append(acts, k.wait(10*ms)...)
-		for i := 0; i < len(acts); i++ {
-			a := acts[i]
-			if a.Kind != Send {
-				continue
-			}
-			attempt := len(k.d.job(a.Request).attempts) - 1
-			if a.Worker == 0 {
-				bad++
-				acts = append(acts, k.end(a.Request, attempt, Failed)...)
-				continue
-			}
-			k.start(a.Request, attempt)
-			k.end(a.Request, attempt, OK)
-		}
-	}
+	bad := k.sendsTo(0, 200, 50*ms, 10*ms, Failed)
 	if bad > 20 {
 		t.Fatalf("%d of 200 jobs went to a worker that fails all, want trials only", bad)
 	}
@@ -522,25 +525,7 @@
 
 func TestUnreachableWorkerIsLeftToRarerTrials(t *testing.T) {
 	k := newDesk(t, settings(), fleet(3)...)
-	tried := 0
-	for range 400 { // eight seconds
-		_, acts := k.land(safe, 20*ms)
-		acts = append(acts, k.wait(20*ms)...)
-		for i := 0; i < len(acts); i++ {
-			a := acts[i]
-			if a.Kind != Send {
-				continue
-			}
-			at := len(k.d.job(a.Request).attempts) - 1
-			if a.Worker == 0 {
-				tried++
-				acts = append(acts, k.end(a.Request, at, Unreachable)...)
-				continue
-			}
-			k.start(a.Request, at)
-			k.end(a.Request, at, OK)
-		}
-	}
+	tried := k.sendsTo(0, 400, 20*ms, 20*ms, Unreachable) // over eight seconds
 	if tried < 3 || tried > 12 {
 		t.Fatalf("%d sends to a worker out of reach in eight seconds, want a few trials", tried)
 	}
--- a/rules/state.go
+++ b/rules/state.go
@@ -124,6 +124,9 @@
 	creditAt Time
 }
 
+// isReady says whether the newest list takes the worker for one that may be sent to.
+func (w *worker) isReady() bool { return w.told && w.State == Ready }
+
 // sign takes a worker's sign of life.
 func (w *worker) sign() { w.silent, w.lost, w.gap = false, false, 0 }
 
@@ -201,6 +204,9 @@
 		if c.Aim < 0 || c.Deadline <= 0 || c.Window < 0 || !(c.Stretch >= 0) || !(c.LateWorth >= 0) {
 			return fmt.Errorf("Classes[%d].Aim, Deadline, Window, Stretch or LateWorth: negative or missing", i)
 		}
+		if !(c.Worth >= 0) {
+			return fmt.Errorf("Classes[%d].Worth: %v is negative", i, c.Worth)
+		}
 	}
 	for i, t := range s.Tenants {
 		if !(t.Quota >= 0) {
@@ -210,11 +216,6 @@
 	if s.Zone < -1 || s.Zone >= s.Zones {
 		return fmt.Errorf("Zone: %d is out of range", s.Zone)
 	}
-	for i, c := range s.Classes {
-		if !(c.Worth >= 0) {
-			return fmt.Errorf("Classes[%d].Worth: %v is negative", i, c.Worth)
-		}
-	}
 	if s.GroupSize < 1 || s.MaxAttempts < 1 {
 		return errors.New("GroupSize or MaxAttempts: less than 1")
 	}
@@ -240,9 +241,7 @@
 	j := d.job(e.Request)
 	switch e.Kind {
 	case ListSnapshot, ListChange:
-		if d.updateList(e) {
-			d.listNews(e)
-		}
+		d.listNews(e)
 	case ListLost:
 		d.listLost()
 	case Arrived:
@@ -259,10 +258,7 @@
 		}
 	case Probed:
 		if w := d.worker(e.Worker); w != nil {
-			if e.Result == OK && w.lost {
-				w.sign()
-			}
-			d.reported(w, &e.Report)
+			d.reported(w, e)
 		}
 	case TimerFired:
 		if d.armedAt <= d.now {
@@ -274,6 +270,14 @@
 	return out
 }
 
+// expect is a job's expected work in microseconds on a standard core.
+func (d *Dispatcher) expect(j *job) float64 {
+	if j.work > 0 {
+		return float64(j.work)
+	}
+	return j.class.run
+}
+
 func (d *Dispatcher) emit(a Action) { d.out = append(d.out, a) }
 
 func (d *Dispatcher) job(id RequestID) *job {
@@ -291,9 +295,11 @@
 }
 
 func (d *Dispatcher) newJob(e *Event) *job {
-	j := &job{}
+	var j *job
 	if n := len(d.pool); n > 0 {
 		j, d.pool = d.pool[n-1], d.pool[:n-1]
+	} else {
+		j = new(job)
 	}
 	*j = job{id: e.Request, class: &d.classes[e.Class], need: max(float64(e.Slots), e.Memory, 1), hint: e.Work,
 		landed: d.now, end: d.now + e.Left - d.s.Tick, open: true, attempts: j.attempts[:0]}
@@ -325,14 +331,11 @@
 	}
 }
 
-// close ends a job that owes no answer any more. Its attempts that are out still hold their slots.
+// close ends a job that owes no answer any more. Its attempts that are out still hold their slots; after the last it
+// is forgotten.
 func (d *Dispatcher) close(j *job) {
 	d.unhold(j)
 	j.open = false
-	d.forget(j)
-}
-
-func (d *Dispatcher) forget(j *job) {
 	if !j.isOut() {
 		d.jobs[j.id] = nil
 		j.timer = 0
@@ -367,7 +370,7 @@
 // moveEntries gives each held job's entry at a worker that drains or is gone a new pick.
 func (d *Dispatcher) moveEntries() {
 	for _, w := range d.workers {
-		if w == nil || w.told && w.State == Ready {
+		if w == nil || w.isReady() {
 			continue
 		}
 		for b := range w.lists {
@@ -405,6 +408,14 @@
 	return total
 }
 
+// meanRoom is the mean of the ready workers, or def where there are none.
+func (d *Dispatcher) meanRoom(def float64) float64 {
+	if len(d.ready) == 0 {
+		return def
+	}
+	return d.sum(func(p *worker) float64 { return p.room }) / float64(len(d.ready))
+}
+
 func (d *Dispatcher) serveAll() {
 	for _, w := range d.ready {
 		d.serve(w)
@@ -446,11 +457,8 @@
 	}
 }
 
-// updateList takes over the list's news; it reports false for news older than what is known.
-func (d *Dispatcher) updateList(e *Event) bool {
-	if e.Version < d.version {
-		return false // guards against late news that would bring a drained worker back
-	}
+// updateList takes over the list's news.
+func (d *Dispatcher) updateList(e *Event) {
 	d.version = e.Version
 	if e.Kind == ListSnapshot {
 		for _, w := range d.workers {
@@ -464,7 +472,7 @@
 	}
 	d.ready, d.near = d.ready[:0], d.near[:0]
 	for _, w := range d.workers {
-		if w == nil || !w.told || w.State != Ready {
+		if w == nil || !w.isReady() {
 			continue
 		}
 		d.ready = append(d.ready, w)
@@ -472,7 +480,6 @@
 			d.near = append(d.near, w)
 		}
 	}
-	return true
 }
 
 func (d *Dispatcher) entry(n *Worker) {
