--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -149,6 +149,7 @@
 		MaxAttempts:    p.whole("policy_limits.attempts_cap", 1),
 		CanCancel:      p.flag("policy_limits.cancel", false),
 		CanProbe:       p.flag("policy_limits.probes", false),
+		ProbesTell:     p.text("report.how", "off") != "off",
 		SecondCopies:   p.flag("policy_limits.second_copies", false),
 		RetryAfter:     p.flag("policy_limits.retry_after", false),
 		MaxRetryAfter:  p.time("policy_limits.max_retry_after", 0),
--- a/internal/simwire/wire.go
+++ b/internal/simwire/wire.go
@@ -41,6 +41,7 @@
 type poolRow struct {
 	worker, zone, kind string
 	cell               int
+	weight             float64
 	state              rules.State
 	startedAt          rules.Time
 }
@@ -222,7 +223,7 @@
 		default:
 			rf.fail(fmt.Errorf("mode: %q is unknown", mode))
 		}
-		rf.number("heft", 1)
+		row.weight = rf.number("heft", 0)
 		row.startedAt = rf.time("ready_at")
 		if err := rf.done(); err != nil {
 			return fmt.Errorf("ROW: %w", err)
@@ -371,7 +372,9 @@
 		return fmt.Errorf("page: list %d has not been sent", page)
 	}
 	for _, row := range r.pool[page] {
-		w := rules.Worker{ID: n.worker(row.worker), Cell: row.cell, State: row.state, StartedAt: row.startedAt}
+		w := rules.Worker{
+			ID: n.worker(row.worker), Cell: row.cell, State: row.state, StartedAt: row.startedAt, Weight: row.weight,
+		}
 		w.Zone, w.Kind = idOr(n.zones, row.zone), idOr(n.kinds, row.kind)
 		e.Workers = append(e.Workers, w)
 	}
--- a/rules/interface.go
+++ b/rules/interface.go
@@ -74,6 +74,7 @@
 	MaxAttempts    int // attempts for one request
 	CanCancel      bool
 	CanProbe       bool
+	ProbesTell     bool // a probe brings a report of the worker's load
 	SecondCopies   bool // two attempts of one request may be out together
 	RetryAfter     bool // clients are told when to come back
 	MaxRetryAfter  Time
@@ -168,7 +169,8 @@
 	ID               WorkerID
 	Zone, Kind, Cell int
 	State            State
-	StartedAt        Time // 0: long ago
+	StartedAt        Time    // 0: long ago
+	Weight           float64 // its size against the others', roughly; 0: not told
 }
 
 // Report is a worker's own account of its load; it is late and noisy.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -8,14 +8,20 @@
 // Constants: value, unit, reason. docs/design.md tells how sensitive the results are to each.
 const (
 	pickCount  = 2                 // held lists that a job joins at its landing: the paper's d
+	picksMost  = 16                // picks weighed for one job: bounds the work of an event
+	drawsMost  = 4                 // draws for a pick that may take the job now
 	joinTick   = 10 * Millisecond  // no room for this long: further workers join the picks
+	joinSlower = 5                 // ticks between further joins at the most
 	crossWait  = 2 * Second / 10   // longer wait, times the price of a crossing, before other zones do
 	roomStart  = 2.0               // slots; every dispatcher takes this of a worker whose size nobody knows
 	roomStep   = 0.5               // slots of room for each slot of success at the room
 	roomFloor  = 1.0 / 8           // slots; a job now and then keeps a worker's notes coming
+	roomFade   = 2.0               // usual runs until a cut is forgotten: others' load has changed by then
 	pauseCut   = 0.75              // factor on a room of one job that queued behind others
 	queueSlack = 40 * Millisecond  // a start this far past two of the quickest: a queue at the worker
-	reportLife = 200 * Millisecond // a report of free slots counts this long: slots turn over within a run
+	copySlack  = 10 * Millisecond  // the same where a copy elsewhere costs nothing
+	bearShare  = 0.5               // of its spare time that a job may wait in a queue told by a report
+	reportLife = 200 * Millisecond // a report counts this long: slots turn over within a run
 	stallSlack = 400 * Millisecond // a progress note later than this is no pause: the worker stands still
 	failWeight = 0.2               // weight of the newest outcome in a worker's share of failures
 	failMargin = 0.25              // share of failures above twice the peers': distrust
@@ -29,10 +35,8 @@
 	extraShare = 0.15              // further attempts for each landing: bounds retry storms
 	extraMost  = 10.0              // further attempts saved up at most
 	coldChance = 1.0               // of the root of a count by chance: one window in hundreds holds more
-	coldMost   = 2.0               // jobs saved up for a cold worker at most
 	usualOver  = 10 * Second       // over which our usual traffic is taken
 	shareDepth = 1.0               // seconds of its quota that a tenant may send at once
-	sweepEvery = 50 * Millisecond  // rooms that open with time alone are looked at this often
 	scanMost   = 8                 // held jobs looked at for one that fits: bounds the work of an event
 	askAgain   = 200 * Millisecond // first wait before a lost list is asked for again: doubles
 	askTimes   = 3                 // asks within AskWithin at the least while there is no answer
@@ -43,9 +47,9 @@
 // maySend says whether the rules allow an attempt now. It does not look at room.
 func (d *Dispatcher) maySend(j *job, w *worker) bool {
 	return j.open && d.now < j.end && len(j.attempts) < d.s.MaxAttempts && // rule one
-		d.mayRepeat(j, w) && // rule two
+		j.out() < 2 && d.mayRepeat(j, w) && // rule two
 		w.isReady() && // rule three: not even within the grace
-		d.coldBears(j, w) // rule four
+		(d.warmth(w) >= 1 || j.drawnCold && j.heldAt >= w.newsAt && j.picked(w)) // rule four
 }
 
 func (d *Dispatcher) send(j *job, w *worker) bool {
@@ -56,9 +60,6 @@
 	j.attempts = append(j.attempts, attempt{w: w, sentAt: d.now, noteAt: d.now, out: true})
 	w.use += j.need
 	d.inUse += j.need
-	if d.warmth(w) < 1 {
-		w.credit -= d.wear(j)
-	}
 	if w.distrust || w.silent {
 		d.spaceTrials(w)
 	}
@@ -80,6 +81,9 @@
 		a.Wait = min(d.backlog(j), d.s.MaxRetryAfter)
 	}
 	d.emit(a)
+	if j.class.LateWorth <= 0 && !j.running() {
+		d.pullBut(j, nil) // guards against queues of work that is worth nothing any more
+	}
 	d.close(j)
 }
 
@@ -111,26 +115,15 @@
 	return d.s.ColdFrom + (1-d.s.ColdFrom)*float64(age)/float64(d.s.WarmWithin)
 }
 
-// coldBears gives each of the group an equal part of the jobs that a cold worker gets: so few that, with
-// everyone at moments of their own, chance hardly ever brings more into one window than it bears.
-func (d *Dispatcher) coldBears(j *job, w *worker) bool {
-	warmth := d.warmth(w)
-	if warmth >= 1 {
-		return true
-	}
-	size, pace := d.kindOf(w)
-	bears := d.s.FallMultiple * warmth * size * float64(d.s.FallWindow) / (d.meanWork * pace)
-	root, group := max(0, math.Sqrt(bears+1)-coldChance), float64(d.s.GroupSize)
-	jobs := max(root*root, bears-coldMost*group) // that many by chance, or this many whatever happens
-	rate := jobs / float64(d.s.FallWindow) / group
-	w.credit = min(coldMost, w.credit+rate*float64(d.now-w.creditAt))
-	w.creditAt = d.now
-	return w.credit >= d.wear(j)
+// coldBears is the chance by which a draw of a cold worker counts. All dispatchers together draw a worker
+// pickCount times for each job that it could run at full load; so many may count that chance hardly ever brings
+// more into one window than it bears. It takes no agreement, and each uses what its own traffic is.
+func (d *Dispatcher) coldBears(w *worker) float64 {
+	full := w.kind.size * float64(d.s.FallWindow) / (d.meanWork * d.paceOf(w))
+	root := max(0, math.Sqrt(d.s.FallMultiple*d.warmth(w)*full+1)-coldChance)
+	return root * root / (pickCount * full)
 }
 
-// wear is a job in mean jobs. A small one counts as one: each wears a worker, and small ones would go first.
-func (d *Dispatcher) wear(j *job) float64 { return max(1, d.expect(j)/d.meanWork) * j.need }
-
 // ---- What a job is worth, and until when.
 
 // believe shrinks a hint towards the mean hint as far as hints have told little of run times (a regression of
@@ -148,12 +141,12 @@
 // worker, on the quickest if it is a heavy job; late, an end before the client gives up.
 func (d *Dispatcher) until(j *job) Time {
 	if j.band == behind && j.class.LateWorth > 0 {
-		return j.end - Time(d.expect(j)*d.best*lateRoom)
+		return j.end - Time(d.expect(j)*d.best()*lateRoom)
 	}
-	if at := j.aimAt - Time(d.expect(j)*d.pace); at > j.landed {
+	if at := j.aimAt - Time(d.expect(j)*d.all.pace); at > j.landed {
 		return at
 	}
-	return j.aimAt - Time(d.expect(j)*d.best)
+	return j.aimAt - Time(d.expect(j)*d.best())
 }
 
 // demote moves a job that lost its full worth behind the others. It reports false if nothing is left of it.
@@ -165,7 +158,35 @@
 	return d.now < d.until(j)
 }
 
-// backlog is how long the work ahead of a job takes with the slots we have in flight (Little's law).
+// best is the pace of the quickest kind of worker.
+func (d *Dispatcher) best() float64 {
+	best := d.all.pace
+	for i := range d.kinds {
+		if d.kinds[i].runs > 0 {
+			best = min(best, d.kinds[i].pace)
+		}
+	}
+	return best
+}
+
+// worthRate is what a class earns for the time it takes.
+func (d *Dispatcher) worthRate(c *classState) float64 {
+	if d.s.WorthByWork {
+		return max(c.Worth, 1e-9)
+	}
+	return max(c.Worth/c.run, 1e-9)
+}
+
+func (d *Dispatcher) bestWorth() float64 {
+	best := 0.0
+	for i := range d.classes {
+		best = max(best, d.worthRate(&d.classes[i]))
+	}
+	return best
+}
+
+// backlog is how long the work ahead of a job takes with the slots we have in flight (Little's law), and not much
+// longer than the oldest held job has waited: with little in flight the law tells nothing.
 func (d *Dispatcher) backlog(j *job) Time {
 	ahead := d.waiting[onTime]
 	if j.band == behind {
@@ -174,7 +195,12 @@
 	if j.ticket != 0 {
 		ahead -= j.need
 	}
-	return Time(max(0, ahead) * d.meanWork * d.pace / max(d.inUse, 1))
+	wait := Time(max(0, ahead) * d.meanWork * d.all.pace / max(d.inUse, 1))
+	q := &d.held[j.band]
+	if q.trim(); len(q.items) == 0 {
+		return min(wait, joinTick)
+	}
+	return min(wait, joinTick+2*(d.now-q.items[q.head].j.heldAt))
 }
 
 // overShare says whether a job goes beyond its tenant's share: it is worth little and must not starve others.
@@ -221,31 +247,79 @@
 // hold joins the lists of random ready workers and sends at once where one of them has room.
 func (d *Dispatcher) hold(j *job) {
 	d.serial++
-	j.ticket, j.heldAt = d.serial, d.now
+	j.ticket, j.heldAt, j.step, j.picks = d.serial, d.now, 0, j.picks[:0]
+	j.drawnCold = !j.drawn // only the first draws of a job may be of cold workers: see coldBears
+	j.drawn = true
+	d.joinNext(j)
 	d.waiting[j.band] += j.need
 	d.held[j.band].push(j)
-	var best *worker
+	d.draw(j)
+	if !d.place(j) {
+		d.schedule(j)
+	}
+}
+
+// draw joins the lists of pickCount further workers, and asks those for their load of which nothing is known.
+func (d *Dispatcher) draw(j *job) {
 	for range pickCount {
-		if w := d.pick(); w != nil {
-			w.lists[j.band].push(j)
-			best = d.better(j, best, w)
+		w := d.pick(j)
+		if w == nil || j.picked(w) {
+			continue
+		}
+		if len(j.picks) == picksMost {
+			j.picks = append(j.picks[:0], j.picks[1:]...)
+		}
+		j.picks = append(j.picks, w)
+		w.lists[j.band].push(j)
+		if d.s.CanProbe && d.s.ProbesTell && w.use == 0 && d.now >= w.loadUntil && !d.probing(w) {
+			w.probedAt = d.now
+			d.emit(Action{Kind: Probe, Worker: w.ID})
 		}
-	}
-	if best == nil || !d.send(j, best) {
-		d.schedule(j)
 	}
 }
 
-// pick draws a random ready worker, in the own zone if it has one and crossings have a price.
-func (d *Dispatcher) pick() *worker {
+// pick draws a random ready worker, in the own zone if it has one and crossings have a price the job's wait is not
+// yet worth. It draws again where a worker is not to be used now.
+func (d *Dispatcher) pick(j *job) *worker {
 	from := d.ready
-	if d.s.PriceCross > 0 && len(d.near) > 0 {
+	if d.now < j.heldAt+d.joinAfter(true) && len(d.near) > 0 {
 		from = d.near
 	}
-	if len(from) == 0 {
-		return nil
+	for range min(drawsMost, len(from)) {
+		w := from[d.rng.IntN(len(from))]
+		if w.lost && d.s.CanProbe {
+			if d.now >= w.trialAt { // a worker out of reach is tried by a probe: a job would lose time
+				d.spaceTrials(w)
+				d.emit(Action{Kind: Probe, Worker: w.ID})
+			}
+			continue
+		}
+		if (w.distrust || w.silent) && d.now < w.trialAt {
+			continue
+		}
+		if d.warmth(w) < 1 && (j.step > 0 || !j.drawnCold || d.rng.Float64() >= d.coldBears(w)) {
+			return nil // not drawn again: that would raise the others' chance
+		}
+		return w
+	}
+	return nil
+}
+
+// probing says whether a probe of a worker is out that may still tell in time.
+func (d *Dispatcher) probing(w *worker) bool {
+	return w.probedAt > 0 && d.now < w.probedAt+joinTick+2*(*d.base(w))
+}
+
+// place sends a held job to the pick that has room and uses least of it, once the picks have told their load.
+func (d *Dispatcher) place(j *job) bool {
+	var best *worker
+	for _, w := range j.picks {
+		if d.probing(w) {
+			return false
+		}
+		best = d.better(j, best, w)
 	}
-	return from[d.rng.IntN(len(from))]
+	return best != nil && d.send(j, best)
 }
 
 // better returns the one of two workers with room for the job that uses less of its room, ties at random.
@@ -256,13 +330,57 @@
 	if a == nil {
 		return b
 	}
-	x, y := (a.use+j.need)/a.room, (b.use+j.need)/b.room
+	x, y := d.usage(j, a), d.usage(j, b)
 	if y < x || y == x && d.rng.IntN(2) == 0 {
 		return b
 	}
 	return a
 }
 
+// usage is the share of its room that w would use with the job: by its own fresh report, else by what we have there.
+func (d *Dispatcher) usage(j *job, w *worker) float64 {
+	if d.now < w.loadUntil {
+		return (w.use + w.load + j.need) / w.kind.size
+	}
+	return (w.use + j.need) / d.roomOf(w)
+}
+
+// roomOf is a worker's room: a cut is forgotten as the load of others changes.
+func (d *Dispatcher) roomOf(w *worker) float64 {
+	usual := d.usualRoom(w)
+	if w.room >= usual || w.use > 0 {
+		return w.room
+	}
+	lapse := float64(d.now-w.cutAt) / (roomFade * d.meanWork * d.all.pace)
+	return w.room + (usual-w.room)*min(1, lapse)
+}
+
+// usualRoom is the mean room, more or less as the list tells the worker's size.
+func (d *Dispatcher) usualRoom(w *worker) float64 {
+	if d.weight <= 0 || w.Weight <= 0 {
+		return d.room
+	}
+	return d.room * w.Weight / d.weight
+}
+
+// paceOf is how long a worker takes for a unit of work; what it has not shown itself is taken from its kind.
+func (d *Dispatcher) paceOf(w *worker) float64 {
+	if w.runs > 0 {
+		return w.pace
+	}
+	return w.kind.pace
+}
+
+// bears is the queue, in slots, in which a job can wait at w and still end in time.
+func (d *Dispatcher) bears(j *job, w *worker) float64 {
+	if j.band == behind {
+		return 0
+	}
+	pace := d.paceOf(w)
+	spare := float64(j.aimAt-d.now) - d.expect(j)*pace
+	return bearShare * w.kind.size * max(0, spare) / (d.meanWork * pace)
+}
+
 // hasRoom says whether a job may go to w by the rules, by w's health and by its learned room.
 func (d *Dispatcher) hasRoom(j *job, w *worker) bool {
 	if !d.maySend(j, w) || j.class.Kind >= 0 && w.Kind != j.class.Kind {
@@ -275,14 +393,14 @@
 		// Guards against a black hole: a worker that errs or hangs always has room.
 		return w.use == 0 && d.now >= w.trialAt && j.class.Effect != Unsafe && !(w.lost && d.s.CanProbe)
 	}
-	run := Time(d.expect(j) * w.pace)
+	run := Time(d.expect(j) * d.paceOf(w))
 	if (j.band == behind || d.now+run > j.aimAt) && d.now+Time(lateRoom*float64(run)) > j.end {
 		return false // guards against work that the client gives up on and that may run on at the worker
 	}
-	if d.now < w.capUntil && w.use+j.need > w.cap {
-		return false
+	if d.now < w.loadUntil {
+		return w.use+w.load+j.need <= w.kind.size+d.bears(j, w)
 	}
-	return w.use+j.need <= w.room || w.use == 0 && d.now >= w.openAt
+	return w.use+j.need <= d.roomOf(w) || w.use == 0 && d.now >= w.openAt
 }
 
 // joinAfter is how long a job must have waited before workers of its own or of other zones join its picks.
@@ -293,19 +411,6 @@
 	return joinTick + Time(d.s.PriceCross*float64(crossWait))
 }
 
-// join adds all ready workers to the picks of a job that has waited for them long enough.
-func (d *Dispatcher) join(j *job) {
-	var best *worker
-	for _, w := range d.ready {
-		if d.now >= j.heldAt+d.joinAfter(w.Zone != d.s.Zone) {
-			best = d.better(j, best, w)
-		}
-	}
-	if best != nil {
-		d.send(j, best)
-	}
-}
-
 // serve sends held jobs to a worker while it has room: its own list's, then those whose picks it may join.
 func (d *Dispatcher) serve(w *worker) {
 	if !w.isReady() {
@@ -341,15 +446,16 @@
 func (d *Dispatcher) schedule(j *job) {
 	at := j.end
 	if j.ticket != 0 {
-		at = min(at, max(d.until(j), d.now+Millisecond))
-		if near := j.heldAt + d.joinAfter(false); d.now < near {
-			at = min(at, near)
-		} else if far := j.heldAt + d.joinAfter(true); d.now < far {
-			at = min(at, far)
+		if j.out() == 0 {
+			at = min(at, max(d.until(j), d.now+Millisecond))
 		}
+		at = min(at, j.joinAt)
+	}
+	if d.hopeless(j, j.aimAt) {
+		at = min(at, j.aimAt)
 	}
 	for i := range j.attempts {
-		at = min(at, d.signDue(&j.attempts[i]))
+		at = min(at, d.signDue(j, &j.attempts[i]))
 	}
 	d.setTimer(j, at)
 }
@@ -361,27 +467,60 @@
 		return
 	}
 	for i := range j.attempts {
-		d.overdue(&j.attempts[i])
+		d.overdue(j, &j.attempts[i])
 	}
-	if j.ticket != 0 && d.now >= d.until(j) {
+	if j.ticket != 0 && d.now >= d.until(j) && j.out() == 0 {
 		d.unhold(j)
 		if !d.demote(j) {
 			d.finish(j)
 		} else {
 			d.hold(j)
 		}
-	} else if j.ticket != 0 && d.now >= j.heldAt+joinTick {
-		d.join(j)
+	} else if d.hopeless(j, d.now) {
+		d.finish(j)
+	} else if j.ticket != 0 && d.now >= j.joinAt {
+		j.step++
+		d.draw(j)
+		d.joinNext(j)
+		d.place(j)
 	}
 	if j.open {
 		d.schedule(j)
 	}
 }
 
+// joinNext sets when further workers join a held job's picks.
+func (d *Dispatcher) joinNext(j *job) { j.joinAt = d.now + joinTick*Time(min(j.step+1, joinSlower)) }
+
+// hopeless says whether a job whose attempts all wait at workers is worth nothing from a time on.
+func (d *Dispatcher) hopeless(j *job, at Time) bool {
+	return at >= j.aimAt && j.class.LateWorth <= 0 && d.pulls() && j.out() > 0 && !j.running()
+}
+
+// pulls says whether what waits at a worker can be taken back. Where workers tell their load by probes that is the
+// cheaper way to know it.
+func (d *Dispatcher) pulls() bool { return d.s.CanCancel && d.s.TellsStart && !d.s.ProbesTell }
+
+// races says whether a job that waits at a worker may be entered at a second one: the first start deletes the other,
+// as in the paper.
+func (d *Dispatcher) races(j *job) bool {
+	return d.pulls() && d.s.SecondCopies && j.class.Effect == Safe
+}
+
+// pullBut takes back the attempts of a job that wait, all but one.
+func (d *Dispatcher) pullBut(j *job, but *attempt) {
+	for i := range j.attempts {
+		if a := &j.attempts[i]; d.pulls() && a.out && !a.pulled && a != but {
+			a.pulled = true
+			d.emit(Action{Kind: Cancel, Request: j.id, Attempt: i})
+		}
+	}
+}
+
 // signDue is when an attempt's start, or its next progress, should have been told of at the latest.
-func (d *Dispatcher) signDue(a *attempt) Time {
+func (d *Dispatcher) signDue(j *job, a *attempt) Time {
 	if a.out && a.startedAt == 0 && !a.queued && d.s.TellsStart {
-		return a.sentAt + a.w.startBy()
+		return a.sentAt + d.startBy(j, a.w)
 	}
 	if a.out && a.startedAt > 0 && !a.stalled && d.s.Progress > 0 {
 		return a.noteAt + d.s.Progress + stallSlack
@@ -390,17 +529,25 @@
 }
 
 // overdue judges a worker by an attempt whose sign is due.
-func (d *Dispatcher) overdue(a *attempt) {
-	if d.now < d.signDue(a) {
+func (d *Dispatcher) overdue(j *job, a *attempt) {
+	if d.now < d.signDue(j, a) {
 		return
 	}
-	if a.startedAt == 0 {
-		a.queued = true
-		a.w.cut()
-	} else {
+	if a.startedAt > 0 {
 		a.stalled = true
 		d.suspect(a.w) // guards against a worker that takes jobs and answers none
+		return
+	}
+	a.queued = true
+	d.cut(a.w)
+	if !d.races(j) || len(j.attempts) >= d.s.MaxAttempts || j.running() || j.ticket != 0 {
+		return
 	}
+	if j.out() == 1 {
+		d.hold(j)
+		return
+	}
+	d.pullBut(j, a)
 }
 
 // again holds a job for a further attempt where rules, budget and time allow one; it reports whether it does.
@@ -408,7 +555,7 @@
 	if d.now >= d.until(j) && !d.demote(j) || len(j.attempts) >= d.s.MaxAttempts {
 		return false
 	}
-	if j.mayHaveRun() {
+	if j.mayHaveRun() && !d.races(j) {
 		if j.class.Effect == Unsafe || d.extra < 1 {
 			return false // the budget guards against a storm of attempts when all are slow or failing
 		}
@@ -420,49 +567,77 @@
 
 // ---- What workers tell, and how they are judged by it.
 
-// reported caps a room at our slots plus the free ones told. An old report neither caps nor opens a room.
-// A probe that comes back shows that a worker out of reach takes connections, not that a hanging one works.
-func (d *Dispatcher) reported(w *worker, e *Event) {
-	if e.Kind == Probed && e.Result == OK && w.lost {
-		w.sign()
+// reported takes over what a worker tells of its load. An old report neither caps nor opens a room.
+func (d *Dispatcher) reported(w *worker, r *Report) {
+	if !r.Known || r.FreeSlots < 0 {
+		return
 	}
-	if e.Report.Known && e.Report.FreeSlots >= 0 {
-		w.cap, w.capUntil = w.use+e.Report.FreeSlots, d.now+reportLife
+	free := math.Round(r.FreeSlots)
+	w.kind.size = max(w.kind.size, min(free, w.kind.size+1)) // step by step: one report may be nonsense
+	w.load = max(0, w.kind.size-free+max(0, r.Queue)-w.use)
+	w.loadUntil = d.now + reportLife
+}
+
+// probed settles the jobs that waited for a worker's answer. It shows that a worker out of reach takes connections,
+// not that a hanging one works.
+func (d *Dispatcher) probed(w *worker, e *Event) {
+	w.probedAt = 0
+	if e.Result == OK {
+		if w.lost {
+			w.sign()
+		}
+		d.reported(w, &e.Report)
+	}
+	for b := range w.lists {
+		for _, e := range w.lists[b].items[w.lists[b].head:] {
+			if e.live() {
+				d.place(e.j)
+			}
+		}
 	}
 }
 
 // startBy is how long after its send a job has started if nothing waits at the worker.
-func (w *worker) startBy() Time {
-	if w.base == 0 {
-		return 5 * queueSlack
+func (d *Dispatcher) startBy(j *job, w *worker) Time {
+	base, slack := *d.base(w), queueSlack
+	if d.races(j) {
+		slack = copySlack
 	}
-	return 2*w.base + queueSlack
+	if base == 0 {
+		return 5 * slack
+	}
+	return 2*base + slack
 }
 
 func (d *Dispatcher) started(j *job, a *attempt) {
 	w, delay := a.w, max(1, d.now-a.sentAt)
+	if !a.queued && delay > d.startBy(j, w) {
+		a.queued = true
+		d.cut(w)
+	}
 	a.startedAt, a.noteAt = d.now, d.now
 	w.sign()
 	w.running += j.need
-	w.peak = max(w.peak, w.running)
-	if w.base == 0 || delay < w.base {
-		w.base = delay
+	w.kind.size = max(w.kind.size, w.running)
+	if base := d.base(w); *base == 0 || delay < *base {
+		*base = delay
 	}
-	if !a.queued && delay > w.startBy() {
-		a.queued = true
-		w.cut()
+	if j.open && d.races(j) {
+		d.unhold(j)
+		d.pullBut(j, a)
 	}
 	d.schedule(j)
 }
 
 // cut guards against a queue at the worker, where jobs wait out of reach: its room becomes what runs there
 // of ours. If that is nothing, others fill it, and we send one job at a time with longer and longer pauses.
-func (w *worker) cut() {
+func (d *Dispatcher) cut(w *worker) {
 	if w.running >= 1 {
-		w.room = min(w.room, w.running)
+		w.room = min(d.roomOf(w), w.running)
 	} else {
-		w.room = max(roomFloor, min(w.room, 1)*pauseCut)
+		w.room = max(roomFloor, min(d.roomOf(w), 1)*pauseCut)
 	}
+	w.cutAt = d.now
 }
 
 func (d *Dispatcher) ended(j *job, a *attempt, e *Event) {
@@ -475,24 +650,24 @@
 		w.running -= j.need
 	}
 	if w.room < 1 {
-		w.openAt = d.now + Time(d.meanWork*d.pace*(1/w.room-1))
+		w.openAt = d.now + Time(d.meanWork*d.all.pace*(1/w.room-1))
 	}
-	d.reported(w, e)
+	d.reported(w, &e.Report)
 	switch e.Result {
 	case OK:
 		d.succeeded(j, a, atRoom)
 	case Full:
-		w.room = max(roomFloor, min(w.room, w.use))
+		w.room, w.cutAt = max(roomFloor, min(w.room, w.use)), d.now
 	case Unreachable:
-		w.lost, d.anyLost = true, true
+		w.lost = true
 		d.suspect(w) // guards against a cut link or a dead worker: they fail all and always have room
 	case Failed, Disconnected:
-		w.judge(1)
+		d.judge(w, 1)
 	}
-	d.trust()
+	d.room += (w.room - d.room) * meanWeight
 	if e.Final || !j.open {
 		d.close(j)
-	} else if d.now >= j.end || !d.again(j) {
+	} else if j.ticket == 0 && !j.running() && (d.now >= j.end || !d.again(j)) && j.out() == 0 {
 		d.finish(j)
 	}
 	d.serve(w)
@@ -500,22 +675,56 @@
 
 func (d *Dispatcher) succeeded(j *job, a *attempt, atRoom bool) {
 	w := a.w
-	w.judge(0)
+	d.judge(w, 0)
 	w.sign()
 	run, weight := float64(d.now-max(a.startedAt, a.sentAt)), paceWeight
 	if j.work == 0 {
 		weight /= 4 // without hints a long run mostly means a long job
 	}
 	j.class.learn(j.hint, run)
-	pace := min(run/max(d.expect(j), 1), paceMost*d.pace)
-	w.pace += (pace - w.pace) * weight
-	d.pace += (pace - d.pace) * meanWeight
+	pace := min(run/max(d.expect(j), 1), paceMost*d.all.pace)
+	w.pace = d.paceOf(w) + (pace-d.paceOf(w))*weight
+	w.runs++
+	w.kind.learn(pace)
+	d.all.learn(pace)
 	if atRoom && !a.queued {
 		w.room += min(w.room, j.need*roomStep)
 	}
 }
 
-func (w *worker) judge(failed float64) { w.fails += (failed - w.fails) * failWeight }
+func (k *kindState) learn(pace float64) {
+	k.runs++
+	k.pace += (pace - k.pace) * meanWeight
+}
+
+// learn takes one run time into the means of its class, and with the hint it had into how hints and run times go
+// together.
+func (c *classState) learn(hint Time, run float64) {
+	c.runs++
+	c.run += (run - c.run) * max(usualRuns, 1/c.runs)
+	if hint > 0 {
+		x, y := math.Log(float64(hint))-c.hints, math.Log(run+1)-c.logRun
+		c.hintVar += (x*x - c.hintVar) * meanWeight
+		c.hintCov += (x*y - c.hintCov) * meanWeight
+		c.logRun += y * meanWeight
+	}
+}
+
+// judge marks a worker that fails far more than its peers, at most a third of the ready ones: a trouble that all
+// share is no worker's fault. Its first outcomes count for more: with little traffic there are no others.
+func (d *Dispatcher) judge(w *worker, failed float64) {
+	w.outcomes++
+	w.fails += (failed - w.fails) * max(failWeight, 1/(w.outcomes+1))
+	d.fails += (failed - d.fails) * meanWeight
+	bad := w.fails > 2*d.fails+failMargin && (w.distrust || d.doubted < len(d.ready)/3)
+	if bad && !w.distrust {
+		d.doubted++
+		w.trialAt = d.now + trialGap
+	} else if !bad && w.distrust {
+		d.doubted--
+	}
+	w.distrust = bad
+}
 
 // suspect leaves a worker that gives no sign to single trials, further and further apart, until it gives one.
 func (d *Dispatcher) suspect(w *worker) {
@@ -530,46 +739,12 @@
 	w.trialAt = d.now + w.gap
 }
 
-// probeLost tries workers out of reach by probes where these are allowed: a job would lose time.
-func (d *Dispatcher) probeLost() {
-	d.anyLost = false
-	for _, w := range d.ready {
-		d.anyLost = d.anyLost || w.lost
-		if w.lost && d.s.CanProbe && d.now >= w.trialAt {
-			d.spaceTrials(w)
-			d.emit(Action{Kind: Probe, Worker: w.ID})
-		}
-	}
-}
-
-// trust marks workers that fail far more than their peers, at most a third of the ready ones: a trouble that
-// all share is no worker's fault.
-func (d *Dispatcher) trust() {
-	sum, most := d.sum(func(p *worker) float64 { return p.fails }), len(d.ready)/3
-	d.best = d.pace
-	for _, w := range d.ready {
-		peers := (sum - w.fails) / max(1, float64(len(d.ready)-1))
-		bad := w.fails > 2*peers+failMargin && most > 0
-		if bad {
-			most--
-		}
-		if bad && !w.distrust {
-			w.trialAt = d.now + trialGap
-		}
-		w.distrust = bad
-		d.best = min(d.best, w.pace)
-	}
-}
-
 // ---- The worker list.
 
 // welcome sets what is believed of a worker that is new or has restarted.
 func (d *Dispatcher) welcome(w *worker) {
-	w.room, w.fails = d.meanRoom(roomStart), 0
-	if w.pace == 0 {
-		w.pace = d.pace // one that restarts is the same machine
-	}
-	w.credit, w.creditAt = d.rng.Float64(), d.now // at random: news of a start reaches all at once
+	w.newsAt, w.room, w.cutAt = d.now, d.room, d.now
+	w.fails, w.outcomes, w.loadUntil, w.distrust = 0, 0, 0, false
 	w.sign()
 }
 
@@ -583,8 +758,14 @@
 	if d.s.ListOnRequest && e.Stale {
 		d.ask()
 	}
-	d.moveEntries()
-	d.serveAll()
+	for _, w := range d.workers {
+		if w == nil || w.isReady() {
+			continue
+		}
+		for _, j := range w.orphans() { // a new pick each
+			d.draw(j)
+		}
+	}
 }
 
 // listLost keeps the last list and asks again, less and less often but in time for rule three.
--- a/rules/state.go
+++ b/rules/state.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 )
 
 // What a dispatcher remembers, and how events reach the decisions. Nothing here decides: see rules.go.
@@ -26,36 +27,56 @@
 	out       bool
 	neverRan  bool
 	queued    bool // has told of a queue at the worker
+	pulled    bool // taken back
 	stalled   bool
 }
 
 type job struct {
-	id       RequestID
-	class    *classState
-	tenant   *tenantState // nil: none
-	need     float64      // slots, or memory units if that is more
-	hint     Time         // the work told, 0: none
-	work     Time         // expected, on a standard core; 0: not told
-	landed   Time
-	end      Time // the last moment for an answer
-	aimAt    Time
-	open     bool // owes its final answer
-	band     int
-	ticket   uint64 // of its entries in held lists; 0: not held
-	heldAt   Time
-	timer    uint64 // of its live entry among the timers
-	attempts []attempt
-}
-
-func (j *job) isOut() bool {
+	id        RequestID
+	class     *classState
+	tenant    *tenantState // nil: none
+	need      float64      // slots, or memory units if that is more
+	hint      Time         // the work told, 0: none
+	work      Time         // expected, on a standard core; 0: not told
+	landed    Time
+	end       Time // the last moment for an answer
+	aimAt     Time
+	open      bool // owes its final answer
+	band      int
+	ticket    uint64 // of its entries in held lists; 0: not held
+	heldAt    Time
+	timer     uint64 // of its live entry among the timers
+	attempts  []attempt
+	picks     []*worker // whose held lists it has joined
+	drawn     bool      // has drawn picks before
+	drawnCold bool      // its picks may be cold
+	step      int       // of joins since it was held
+	joinAt    Time      // of the next
+}
+
+// out counts the attempts that have not ended.
+func (j *job) out() int {
+	n := 0
 	for i := range j.attempts {
 		if j.attempts[i].out {
+			n++
+		}
+	}
+	return n
+}
+
+// running says whether an attempt that has not ended has started.
+func (j *job) running() bool {
+	for i := range j.attempts {
+		if j.attempts[i].out && j.attempts[i].startedAt > 0 {
 			return true
 		}
 	}
 	return false
 }
 
+func (j *job) picked(w *worker) bool { return slices.Contains(j.picks, w) }
+
 func (j *job) triedAt(w *worker) bool {
 	for i := range j.attempts {
 		if j.attempts[i].w == w {
@@ -82,46 +103,42 @@
 	hintVar, hintCov float64 // and how they go together
 }
 
-// learn takes one run time into the means of its class, and with the hint it had into how hints and run times go
-// together.
-func (c *classState) learn(hint Time, run float64) {
-	c.runs++
-	c.run += (run - c.run) * max(usualRuns, 1/c.runs)
-	if hint > 0 {
-		x, y := math.Log(float64(hint))-c.hints, math.Log(run+1)-c.logRun
-		c.hintVar += (x*x - c.hintVar) * meanWeight
-		c.hintCov += (x*y - c.hintCov) * meanWeight
-		c.logRun += y * meanWeight
-	}
-}
-
 type tenantState struct {
 	Tenant
 	left float64 // requests within the share
 	at   Time
 }
 
+// kindState is what workers of one kind have shown, or all workers together.
+type kindState struct {
+	size float64 // most slots that ran at once, or were told free
+	pace float64
+	runs float64
+}
+
 type worker struct {
 	Worker
-	told     bool    // on the list
-	room     float64 // slots; below 1: one job at a time, with pauses
-	use      float64 // our slots in flight
-	running  float64 // our slots that have started
-	peak     float64 // most of running ever
-	lists    [bands]queue
-	openAt   Time    // end of a pause
-	cap      float64 // slots, by the last report
-	capUntil Time
-	base     Time // quickest start
-	pace     float64
-	fails    float64
-	distrust bool
-	silent   bool
-	lost     bool // silent because no connection came up
-	trialAt  Time
-	gap      Time    // between trials
-	credit   float64 // jobs it may be sent while cold
-	creditAt Time
+	kind      *kindState
+	told      bool    // on the list
+	newsAt    Time    // of its first start or last restart
+	room      float64 // slots; below 1: one job at a time, with pauses
+	cutAt     Time
+	use       float64 // our slots in flight
+	running   float64 // our slots that have started
+	lists     [bands]queue
+	openAt    Time    // end of a pause
+	load      float64 // slots that others use or wait for there, by the last report
+	loadUntil Time    // how long that counts
+	probedAt  Time    // 0: no probe is out
+	pace      float64
+	runs      float64
+	fails     float64
+	outcomes  float64
+	distrust  bool
+	silent    bool
+	lost      bool // silent because no connection came up
+	trialAt   Time
+	gap       Time // between trials
 }
 
 // isReady says whether the newest list takes the worker for one that may be sent to.
@@ -148,8 +165,12 @@
 	landRate float64 // our usual landings a second
 	landedAt Time
 	workers  []*worker // by id
+	kinds    []kindState
+	bases    []Time // quickest start, by zone; 0: none yet
 	ready    []*worker
 	near     []*worker // the ready ones in our own zone
+	weight   float64   // mean of the ready ones' listed weights
+	doubted  int       // ready workers that are distrusted
 	jobs     []*job    // by id
 	pool     []*job
 	held     [bands]queue // all held jobs, in the order of their landing
@@ -157,10 +178,9 @@
 	timers   timerHeap
 	serial   uint64
 	armedAt  Time
-	sweepAt  Time
-	anyLost  bool
-	pace     float64
-	best     float64 // pace of the quickest ready worker
+	all      kindState
+	room     float64 // mean of rooms at the ends of jobs
+	fails    float64 // share of failures at all workers
 	meanWork float64 // of landed jobs
 	inUse    float64 // our slots in flight at all workers
 	extra    float64
@@ -174,8 +194,13 @@
 	if err := validate(&s); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	d := &Dispatcher{s: s, rng: rand.New(rand.NewPCG(seed, 1)), armedAt: never, sweepAt: never, askAt: never,
-		askWait: askAgain, pace: 1, best: 1, extra: extraMost}
+	d := &Dispatcher{s: s, rng: rand.New(rand.NewPCG(seed, 1)), armedAt: never, askAt: never,
+		askWait: askAgain, extra: extraMost, room: roomStart, all: kindState{size: 1, pace: 1}}
+	d.kinds = make([]kindState, s.Kinds+1) // the last is for kinds that the settings do not name
+	for i := range d.kinds {
+		d.kinds[i] = d.all
+	}
+	d.bases = make([]Time, s.Zones+1)
 	for _, c := range s.Classes {
 		d.meanWork = max(d.meanWork, float64(c.Aim))
 		aim := math.Log(float64(max(c.Aim, 1)))
@@ -258,7 +283,7 @@
 		}
 	case Probed:
 		if w := d.worker(e.Worker); w != nil {
-			d.reported(w, e)
+			d.probed(w, e)
 		}
 	case TimerFired:
 		if d.armedAt <= d.now {
@@ -302,7 +327,7 @@
 		j = new(job)
 	}
 	*j = job{id: e.Request, class: &d.classes[e.Class], need: max(float64(e.Slots), e.Memory, 1), hint: e.Work,
-		landed: d.now, end: d.now + e.Left - d.s.Tick, open: true, attempts: j.attempts[:0]}
+		landed: d.now, end: d.now + e.Left - d.s.Tick, open: true, attempts: j.attempts[:0], picks: j.picks[:0]}
 	j.work = j.class.believe(j.hint)
 	if e.Tenant >= 0 && e.Tenant < len(d.tenants) {
 		j.tenant = &d.tenants[e.Tenant]
@@ -336,7 +361,7 @@
 func (d *Dispatcher) close(j *job) {
 	d.unhold(j)
 	j.open = false
-	if !j.isOut() {
+	if j.out() == 0 {
 		d.jobs[j.id] = nil
 		j.timer = 0
 		d.pool = append(d.pool, j)
@@ -351,75 +376,18 @@
 	}
 }
 
-// worthRate is what a class earns for the time it takes.
-func (d *Dispatcher) worthRate(c *classState) float64 {
-	if d.s.WorthByWork {
-		return max(c.Worth, 1e-9)
-	}
-	return max(c.Worth/c.run, 1e-9)
-}
-
-func (d *Dispatcher) bestWorth() float64 {
-	best := 0.0
-	for i := range d.classes {
-		best = max(best, d.worthRate(&d.classes[i]))
-	}
-	return best
-}
-
-// moveEntries gives each held job's entry at a worker that drains or is gone a new pick.
-func (d *Dispatcher) moveEntries() {
-	for _, w := range d.workers {
-		if w == nil || w.isReady() {
-			continue
-		}
-		for b := range w.lists {
-			q := &w.lists[b]
-			for _, e := range q.items[q.head:] {
-				if p := d.pick(); p != nil && e.live() {
-					p.lists[b].push(e.j)
-				}
+// orphans strikes the entries of a worker that drains, is gone or has restarted, and returns their held jobs.
+func (w *worker) orphans() (jobs []*job) {
+	for b := range w.lists {
+		q := &w.lists[b]
+		for _, e := range q.items[q.head:] {
+			if e.live() {
+				jobs = append(jobs, e.j)
 			}
-			*q = queue{}
 		}
+		*q = queue{}
 	}
-}
-
-// kindOf tells what ready workers of a kind have shown: the most slots that ran at once, and the slowest pace.
-func (d *Dispatcher) kindOf(w *worker) (slots, pace float64) {
-	slots, pace = 1, 0
-	for _, p := range d.ready {
-		if p.Kind == w.Kind {
-			slots, pace = max(slots, p.peak), max(pace, p.pace)
-		}
-	}
-	if pace == 0 {
-		pace = d.pace
-	}
-	return slots, pace
-}
-
-// sum adds up a figure of the ready workers.
-func (d *Dispatcher) sum(of func(*worker) float64) float64 {
-	total := 0.0
-	for _, w := range d.ready {
-		total += of(w)
-	}
-	return total
-}
-
-// meanRoom is the mean of the ready workers, or def where there are none.
-func (d *Dispatcher) meanRoom(def float64) float64 {
-	if len(d.ready) == 0 {
-		return def
-	}
-	return d.sum(func(p *worker) float64 { return p.room }) / float64(len(d.ready))
-}
-
-func (d *Dispatcher) serveAll() {
-	for _, w := range d.ready {
-		d.serve(w)
-	}
+	return jobs
 }
 
 // setTimer replaces a job's timer.
@@ -439,15 +407,7 @@
 	if d.now >= d.askAt {
 		d.ask()
 	}
-	if d.now >= d.sweepAt {
-		d.sweepAt = never
-		d.probeLost()
-		d.serveAll()
-	}
-	if d.sweepAt == never && (d.anyLost || d.waiting[onTime]+d.waiting[behind] > 0) {
-		d.sweepAt = d.now + sweepEvery
-	}
-	next := min(d.sweepAt, d.askAt)
+	next := d.askAt
 	if len(d.timers) > 0 {
 		next = min(next, d.timers[0].at)
 	}
@@ -470,16 +430,21 @@
 	for i := range e.Workers {
 		d.entry(&e.Workers[i])
 	}
-	d.ready, d.near = d.ready[:0], d.near[:0]
+	d.ready, d.near, d.weight, d.doubted = d.ready[:0], d.near[:0], 0, 0
 	for _, w := range d.workers {
 		if w == nil || !w.isReady() {
 			continue
 		}
 		d.ready = append(d.ready, w)
+		d.weight += w.Weight
+		if w.distrust {
+			d.doubted++
+		}
 		if w.Zone == d.s.Zone {
 			d.near = append(d.near, w)
 		}
 	}
+	d.weight /= float64(max(1, len(d.ready)))
 }
 
 func (d *Dispatcher) entry(n *Worker) {
@@ -488,7 +453,10 @@
 	}
 	w := d.workers[n.ID]
 	if w == nil {
-		w = &worker{Worker: *n}
+		w = &worker{Worker: *n, kind: &d.kinds[len(d.kinds)-1]}
+		if n.Kind >= 0 && n.Kind < d.s.Kinds {
+			w.kind = &d.kinds[n.Kind]
+		}
 		d.workers[n.ID] = w
 		d.welcome(w)
 	} else if n.StartedAt > w.StartedAt {
@@ -497,6 +465,14 @@
 	w.Worker, w.told = *n, n.State != Gone
 }
 
+// base is the quickest start seen in a worker's zone.
+func (d *Dispatcher) base(w *worker) *Time {
+	if w.Zone >= 0 && w.Zone < d.s.Zones {
+		return &d.bases[w.Zone]
+	}
+	return &d.bases[d.s.Zones]
+}
+
 // held lists: entries live as long as their job is held under the same ticket.
 
 type entry struct {
@@ -512,7 +488,10 @@
 	head  int
 }
 
-func (q *queue) push(j *job) { q.items = append(q.items, entry{j, j.ticket}) }
+func (q *queue) push(j *job) {
+	q.trim()
+	q.items = append(q.items, entry{j, j.ticket})
+}
 
 // trim drops dead entries at the head and the space before it.
 func (q *queue) trim() {
