--- a/rules/rules.go
+++ b/rules/rules.go
@@ -271,7 +271,7 @@
 		}
 		j.picks = append(j.picks, w)
 		w.lists[j.band].push(j)
-		if d.s.CanProbe && d.s.ProbesTell && w.use == 0 && d.now >= w.loadUntil && !d.probing(w) {
+		if d.unknown(w) && !d.probing(w) {
 			w.probedAt = d.now
 			d.emit(Action{Kind: Probe, Worker: w.ID})
 		}
@@ -305,6 +305,11 @@
 	return nil
 }
 
+// unknown says whether w should be asked for its load before a send: neither a report nor what we have there tells.
+func (d *Dispatcher) unknown(w *worker) bool {
+	return d.s.CanProbe && d.s.ProbesTell && w.use == 0 && d.now >= max(w.loadUntil, w.endedAt+reportLife)
+}
+
 // probing says whether a probe of a worker is out that may still tell in time.
 func (d *Dispatcher) probing(w *worker) bool {
 	return w.probedAt > 0 && d.now < w.probedAt+joinTick+2*(*d.base(w))
@@ -373,7 +378,7 @@
 
 // bears is the queue, in slots, in which a job can wait at w and still end in time.
 func (d *Dispatcher) bears(j *job, w *worker) float64 {
-	if j.band == behind {
+	if j.band == behind || d.now < j.heldAt+d.joinAfter(true)+2*joinTick {
 		return 0
 	}
 	pace := d.paceOf(w)
@@ -400,6 +405,9 @@
 	if d.now < w.loadUntil {
 		return w.use+w.load+j.need <= w.kind.size+d.bears(j, w)
 	}
+	if d.unknown(w) && !(w.probedAt > 0 && !d.probing(w)) {
+		return false
+	}
 	return w.use+j.need <= d.roomOf(w) || w.use == 0 && d.now >= w.openAt
 }
 
@@ -645,6 +653,7 @@
 	atRoom := w.use+j.need > w.room
 	a.out, a.neverRan = false, e.Result == Full || e.Result == NotSent || e.Result == Unreachable
 	w.use -= j.need
+	w.endedAt = d.now
 	d.inUse -= j.need
 	if a.startedAt > 0 {
 		w.running -= j.need
--- a/rules/state.go
+++ b/rules/state.go
@@ -129,6 +129,7 @@
 	openAt    Time    // end of a pause
 	load      float64 // slots that others use or wait for there, by the last report
 	loadUntil Time    // how long that counts
+	endedAt   Time    // when a job of ours last ended there
 	probedAt  Time    // 0: no probe is out
 	pace      float64
 	runs      float64
