--- a/rules/rules.go
+++ b/rules/rules.go
@@ -12,6 +12,7 @@
 	drawsMost  = 4                 // draws for a pick that may take the job now
 	joinTick   = 10 * Millisecond  // no room for this long: further workers join the picks
 	joinSlower = 5                 // ticks between further joins at the most
+	crossCost  = 2.0               // of a room that one crossing weighs, times its price
 	crossWait  = 2 * Second / 10   // longer wait, times the price of a crossing, before other zones do
 	roomStart  = 2.0               // slots; every dispatcher takes this of a worker whose size nobody knows
 	roomStep   = 0.5               // slots of room for each slot of success at the room
@@ -261,8 +262,8 @@
 
 // draw joins the lists of pickCount further workers, and asks those for their load of which nothing is known.
 func (d *Dispatcher) draw(j *job) {
-	for range pickCount {
-		w := d.pick(j)
+	for i := range pickCount {
+		w := d.pick(j, i == 0)
 		if w == nil || j.picked(w) {
 			continue
 		}
@@ -278,11 +279,11 @@
 	}
 }
 
-// pick draws a random ready worker, in the own zone if it has one and crossings have a price the job's wait is not
-// yet worth. It draws again where a worker is not to be used now.
-func (d *Dispatcher) pick(j *job) *worker {
+// pick draws a random ready worker, one in the own zone if crossings have a price. It draws again where a worker is
+// not to be used now.
+func (d *Dispatcher) pick(j *job, near bool) *worker {
 	from := d.ready
-	if d.now < j.heldAt+d.joinAfter(true) && len(d.near) > 0 {
+	if near && d.s.PriceCross > 0 && len(d.near) > 0 {
 		from = d.near
 	}
 	for range min(drawsMost, len(from)) {
@@ -344,10 +345,14 @@
 
 // usage is the share of its room that w would use with the job: by its own fresh report, else by what we have there.
 func (d *Dispatcher) usage(j *job, w *worker) float64 {
+	crossing := 0.0
+	if w.Zone != d.s.Zone {
+		crossing = crossCost * d.s.PriceCross
+	}
 	if d.now < w.loadUntil {
-		return (w.use + w.load + j.need) / w.kind.size
+		return (w.use+w.load+j.need)/w.kind.size + crossing
 	}
-	return (w.use + j.need) / d.roomOf(w)
+	return (w.use+j.need)/d.roomOf(w) + crossing
 }
 
 // roomOf is a worker's room: a cut is forgotten as the load of others changes.
