--- a/rules/rules.go
+++ b/rules/rules.go
@@ -3,7 +3,10 @@
 
 package rules
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // Constants: value, unit, reason. docs/design.md tells how sensitive the results are to each.
 const (
@@ -21,7 +24,12 @@
 	pauseCut   = 0.75              // factor on a room of one job that queued behind others
 	queueSlack = 40 * Millisecond  // a start this far past two of the quickest: a queue at the worker
 	copySlack  = 10 * Millisecond  // the same where a copy elsewhere costs nothing
-	bearShare  = 0.5               // of its spare time that a job may wait in a queue told by a report
+	waitWeight = 0.1               // weight of the newest start in the mean waits of a kind and a zone
+	shedUp     = 0.2               // more of the landings are refused for each job that starts too late ...
+	shedDown   = 0.05              // ... and less for each that starts in time: a fifth may be late
+	shedSkew   = 3.0               // power: how much rather the landings that earn less are refused
+	cheapWaste = 0.1               // price of wasted work up to which copies are raced
+	copyGap    = 20 * Millisecond  // before the last useful moment a waiting job is entered elsewhere
 	reportLife = 200 * Millisecond // a report counts this long: slots turn over within a run
 	stallSlack = 400 * Millisecond // a progress note later than this is no pause: the worker stands still
 	failWeight = 0.2               // weight of the newest outcome in a worker's share of failures
@@ -226,13 +234,28 @@
 	return over
 }
 
+// press follows how many of our jobs start too late: with many dispatchers the queues stand at the workers.
+func (d *Dispatcher) press(late bool) {
+	if late {
+		d.shed = min(1, d.shed+shedUp)
+	} else {
+		d.shed = max(0, d.shed-shedDown)
+	}
+}
+
 // ---- Landing, and the held lists.
 
 func (d *Dispatcher) land(j *job, retry bool) {
 	d.extra = min(extraMost, d.extra+extraShare)
 	d.meanWork += (d.expect(j) - d.meanWork) * meanWeight
+	value := d.worthRate(j.class) / d.bestWorth()
 	if d.overShare(j, retry) {
 		j.band = behind
+		value *= d.s.OverShareWorth
+	}
+	if d.shed > 0 && d.rng.Float64() < math.Pow(d.shed, shedSkew*value) {
+		d.finish(j) // guards against queues at the workers in which all end late
+		return
 	}
 	wait := d.backlog(j)
 	if j.class.LateWorth > 0 { // what earns less for its time yields first, and still has its late worth
@@ -272,10 +295,6 @@
 		}
 		j.picks = append(j.picks, w)
 		w.lists[j.band].push(j)
-		if d.unknown(w) && !d.probing(w) {
-			w.probedAt = d.now
-			d.emit(Action{Kind: Probe, Worker: w.ID})
-		}
 	}
 }
 
@@ -306,23 +325,10 @@
 	return nil
 }
 
-// unknown says whether w should be asked for its load before a send: neither a report nor what we have there tells.
-func (d *Dispatcher) unknown(w *worker) bool {
-	return d.s.CanProbe && d.s.ProbesTell && w.use == 0 && d.now >= max(w.loadUntil, w.endedAt+reportLife)
-}
-
-// probing says whether a probe of a worker is out that may still tell in time.
-func (d *Dispatcher) probing(w *worker) bool {
-	return w.probedAt > 0 && d.now < w.probedAt+joinTick+2*(*d.base(w))
-}
-
-// place sends a held job to the pick that has room and uses least of it, once the picks have told their load.
+// place sends a held job to the pick that has room and uses least of it.
 func (d *Dispatcher) place(j *job) bool {
 	var best *worker
 	for _, w := range j.picks {
-		if d.probing(w) {
-			return false
-		}
 		best = d.better(j, best, w)
 	}
 	return best != nil && d.send(j, best)
@@ -343,16 +349,14 @@
 	return a
 }
 
-// usage is the share of its room that w would use with the job: by its own fresh report, else by what we have there.
+// usage is the share of its room that w would use with the job, and what else counts against w: that starts wait at
+// its kind and in its zone, as little is seen of one worker, and the price of a crossing.
 func (d *Dispatcher) usage(j *job, w *worker) float64 {
-	crossing := 0.0
+	use := (w.use+j.need)/d.roomOf(w) + w.kind.wait + d.zone(w).wait
 	if w.Zone != d.s.Zone {
-		crossing = crossCost * d.s.PriceCross
-	}
-	if d.now < w.loadUntil {
-		return (w.use+w.load+j.need)/w.kind.size + crossing
+		use += crossCost * d.s.PriceCross
 	}
-	return (w.use+j.need)/d.roomOf(w) + crossing
+	return use
 }
 
 // roomOf is a worker's room: a cut is forgotten as the load of others changes.
@@ -381,16 +385,6 @@
 	return w.kind.pace
 }
 
-// bears is the queue, in slots, in which a job can wait at w and still end in time.
-func (d *Dispatcher) bears(j *job, w *worker) float64 {
-	if j.band == behind || d.now < j.heldAt+d.joinAfter(true)+2*joinTick {
-		return 0
-	}
-	pace := d.paceOf(w)
-	spare := float64(j.aimAt-d.now) - d.expect(j)*pace
-	return bearShare * w.kind.size * max(0, spare) / (d.meanWork * pace)
-}
-
 // hasRoom says whether a job may go to w by the rules, by w's health and by its learned room.
 func (d *Dispatcher) hasRoom(j *job, w *worker) bool {
 	if !d.maySend(j, w) || j.class.Kind >= 0 && w.Kind != j.class.Kind {
@@ -407,10 +401,7 @@
 	if (j.band == behind || d.now+run > j.aimAt) && d.now+Time(lateRoom*float64(run)) > j.end {
 		return false // guards against work that the client gives up on and that may run on at the worker
 	}
-	if d.now < w.loadUntil {
-		return w.use+w.load+j.need <= w.kind.size+d.bears(j, w)
-	}
-	if d.unknown(w) && !(w.probedAt > 0 && !d.probing(w)) {
+	if d.now < w.capUntil && w.use+j.need > w.cap {
 		return false
 	}
 	return w.use+j.need <= d.roomOf(w) || w.use == 0 && d.now >= w.openAt
@@ -510,14 +501,15 @@
 	return at >= j.aimAt && j.class.LateWorth <= 0 && d.pulls() && j.out() > 0 && !j.running()
 }
 
-// pulls says whether what waits at a worker can be taken back. Where workers tell their load by probes that is the
-// cheaper way to know it.
-func (d *Dispatcher) pulls() bool { return d.s.CanCancel && d.s.TellsStart && !d.s.ProbesTell }
+// pulls says whether attempts that wait are taken back: where wasted work is cheap, as a cancel may stop nothing.
+func (d *Dispatcher) pulls() bool {
+	return d.s.CanCancel && d.s.TellsStart && d.s.PriceWaste <= cheapWaste && d.s.SecondCopies
+}
 
 // races says whether a job that waits at a worker may be entered at a second one: the first start deletes the other,
 // as in the paper.
 func (d *Dispatcher) races(j *job) bool {
-	return d.pulls() && d.s.SecondCopies && j.class.Effect == Safe
+	return d.pulls() && j.class.Effect == Safe
 }
 
 // pullBut takes back the attempts of a job that wait, all but one.
@@ -535,6 +527,9 @@
 	if a.out && a.startedAt == 0 && !a.queued && d.s.TellsStart {
 		return a.sentAt + d.startBy(j, a.w)
 	}
+	if a.out && a.startedAt == 0 && !a.moved && !d.races(j) && j.class.Effect != Unsafe {
+		return max(a.sentAt+1, j.aimAt-Time(d.expect(j)*d.all.pace)-copyGap)
+	}
 	if a.out && a.startedAt > 0 && !a.stalled && d.s.Progress > 0 {
 		return a.noteAt + d.s.Progress + stallSlack
 	}
@@ -551,6 +546,10 @@
 		d.suspect(a.w) // guards against a worker that takes jobs and answers none
 		return
 	}
+	if a.queued {
+		d.move(j, a)
+		return
+	}
 	a.queued = true
 	d.cut(a.w)
 	if !d.races(j) || len(j.attempts) >= d.s.MaxAttempts || j.running() || j.ticket != 0 {
@@ -563,12 +562,29 @@
 	d.pullBut(j, a)
 }
 
+// move enters a job elsewhere that waits at a worker, at the last moment at which that can help. The old attempt may
+// run all the same, so the budget bounds it, and it ends when many start late: then a copy meets the same queues.
+func (d *Dispatcher) move(j *job, a *attempt) {
+	a.moved = true
+	if j.ticket != 0 || d.extra < 1 || d.shed > shedUp || len(j.attempts) >= d.s.MaxAttempts {
+		return
+	}
+	if d.s.SecondCopies {
+		d.extra--
+		d.hold(j)
+	} else if d.s.CanCancel {
+		d.extra--
+		a.pulled = true
+		d.emit(Action{Kind: Cancel, Request: j.id, Attempt: slices.IndexFunc(j.attempts, func(b attempt) bool { return b.moved })})
+	}
+}
+
 // again holds a job for a further attempt where rules, budget and time allow one; it reports whether it does.
-func (d *Dispatcher) again(j *job) bool {
+func (d *Dispatcher) again(j *job, a *attempt) bool {
 	if d.now >= d.until(j) && !d.demote(j) || len(j.attempts) >= d.s.MaxAttempts {
 		return false
 	}
-	if j.mayHaveRun() && !d.races(j) {
+	if j.mayHaveRun() && !d.races(j) && !a.pulled {
 		if j.class.Effect == Unsafe || d.extra < 1 {
 			return false // the budget guards against a storm of attempts when all are slow or failing
 		}
@@ -580,39 +596,20 @@
 
 // ---- What workers tell, and how they are judged by it.
 
-// reported takes over what a worker tells of its load. An old report neither caps nor opens a room.
-func (d *Dispatcher) reported(w *worker, r *Report) {
-	if !r.Known || r.FreeSlots < 0 {
-		return
-	}
-	free := math.Round(r.FreeSlots)
-	w.kind.size = max(w.kind.size, min(free, w.kind.size+1)) // step by step: one report may be nonsense
-	w.load = max(0, w.kind.size-free+max(0, r.Queue)-w.use)
-	w.loadUntil = d.now + reportLife
-}
-
-// probed settles the jobs that waited for a worker's answer. It shows that a worker out of reach takes connections,
-// not that a hanging one works.
-func (d *Dispatcher) probed(w *worker, e *Event) {
-	w.probedAt = 0
-	if e.Result == OK {
-		if w.lost {
-			w.sign()
-		}
-		d.reported(w, &e.Report)
+// reported caps a room at our slots plus the free ones told. An old report neither caps nor opens a room.
+// A probe that comes back shows that a worker out of reach takes connections, not that a hanging one works.
+func (d *Dispatcher) reported(w *worker, e *Event) {
+	if e.Kind == Probed && e.Result == OK && w.lost {
+		w.sign()
 	}
-	for b := range w.lists {
-		for _, e := range w.lists[b].items[w.lists[b].head:] {
-			if e.live() {
-				d.place(e.j)
-			}
-		}
+	if e.Report.Known && e.Report.FreeSlots >= 0 {
+		w.cap, w.capUntil = w.use+e.Report.FreeSlots, d.now+reportLife
 	}
 }
 
 // startBy is how long after its send a job has started if nothing waits at the worker.
 func (d *Dispatcher) startBy(j *job, w *worker) Time {
-	base, slack := *d.base(w), queueSlack
+	base, slack := d.zone(w).base, queueSlack
 	if d.races(j) {
 		slack = copySlack
 	}
@@ -632,9 +629,14 @@
 	w.sign()
 	w.running += j.need
 	w.kind.size = max(w.kind.size, w.running)
-	if base := d.base(w); *base == 0 || delay < *base {
-		*base = delay
-	}
+	z := d.zone(w)
+	if z.base == 0 || delay < z.base {
+		z.base = delay
+	}
+	wait := float64(max(0, delay-z.base-queueSlack)) / (d.meanWork * d.all.pace)
+	w.kind.wait += (wait - w.kind.wait) * waitWeight
+	z.wait += (wait - z.wait) * waitWeight
+	d.press(d.now+Time(d.expect(j)*d.paceOf(w)) > j.aimAt)
 	if j.open && d.races(j) {
 		d.unhold(j)
 		d.pullBut(j, a)
@@ -658,7 +660,6 @@
 	atRoom := w.use+j.need > w.room
 	a.out, a.neverRan = false, e.Result == Full || e.Result == NotSent || e.Result == Unreachable
 	w.use -= j.need
-	w.endedAt = d.now
 	d.inUse -= j.need
 	if a.startedAt > 0 {
 		w.running -= j.need
@@ -666,7 +667,7 @@
 	if w.room < 1 {
 		w.openAt = d.now + Time(d.meanWork*d.all.pace*(1/w.room-1))
 	}
-	d.reported(w, &e.Report)
+	d.reported(w, e)
 	switch e.Result {
 	case OK:
 		d.succeeded(j, a, atRoom)
@@ -681,7 +682,7 @@
 	d.room += (w.room - d.room) * meanWeight
 	if e.Final || !j.open {
 		d.close(j)
-	} else if j.ticket == 0 && !j.running() && (d.now >= j.end || !d.again(j)) && j.out() == 0 {
+	} else if j.ticket == 0 && !j.running() && (d.now >= j.end || !d.again(j, a)) && j.out() == 0 {
 		d.finish(j)
 	}
 	d.serve(w)
@@ -758,7 +759,7 @@
 // welcome sets what is believed of a worker that is new or has restarted.
 func (d *Dispatcher) welcome(w *worker) {
 	w.newsAt, w.room, w.cutAt = d.now, d.room, d.now
-	w.fails, w.outcomes, w.loadUntil, w.distrust = 0, 0, 0, false
+	w.fails, w.outcomes, w.distrust = 0, 0, false
 	w.sign()
 }
 
--- a/rules/state.go
+++ b/rules/state.go
@@ -28,6 +28,7 @@
 	neverRan  bool
 	queued    bool // has told of a queue at the worker
 	pulled    bool // taken back
+	moved     bool // was due to be entered elsewhere
 	stalled   bool
 }
 
@@ -114,32 +115,37 @@
 	size float64 // most slots that ran at once, or were told free
 	pace float64
 	runs float64
+	wait float64 // mean wait for a start, in usual runs
+}
+
+// zoneState is what the workers of one zone have shown.
+type zoneState struct {
+	base Time // quickest start; 0: none yet
+	wait float64
 }
 
 type worker struct {
 	Worker
-	kind      *kindState
-	told      bool    // on the list
-	newsAt    Time    // of its first start or last restart
-	room      float64 // slots; below 1: one job at a time, with pauses
-	cutAt     Time
-	use       float64 // our slots in flight
-	running   float64 // our slots that have started
-	lists     [bands]queue
-	openAt    Time    // end of a pause
-	load      float64 // slots that others use or wait for there, by the last report
-	loadUntil Time    // how long that counts
-	endedAt   Time    // when a job of ours last ended there
-	probedAt  Time    // 0: no probe is out
-	pace      float64
-	runs      float64
-	fails     float64
-	outcomes  float64
-	distrust  bool
-	silent    bool
-	lost      bool // silent because no connection came up
-	trialAt   Time
-	gap       Time // between trials
+	kind     *kindState
+	told     bool    // on the list
+	newsAt   Time    // of its first start or last restart
+	room     float64 // slots; below 1: one job at a time, with pauses
+	cutAt    Time
+	use      float64 // our slots in flight
+	running  float64 // our slots that have started
+	lists    [bands]queue
+	openAt   Time    // end of a pause
+	cap      float64 // slots, by the last report
+	capUntil Time
+	pace     float64
+	runs     float64
+	fails    float64
+	outcomes float64
+	distrust bool
+	silent   bool
+	lost     bool // silent because no connection came up
+	trialAt  Time
+	gap      Time // between trials
 }
 
 // isReady says whether the newest list takes the worker for one that may be sent to.
@@ -167,7 +173,7 @@
 	landedAt Time
 	workers  []*worker // by id
 	kinds    []kindState
-	bases    []Time // quickest start, by zone; 0: none yet
+	zones    []zoneState
 	ready    []*worker
 	near     []*worker // the ready ones in our own zone
 	weight   float64   // mean of the ready ones' listed weights
@@ -182,6 +188,7 @@
 	all      kindState
 	room     float64 // mean of rooms at the ends of jobs
 	fails    float64 // share of failures at all workers
+	shed     float64 // how hard landings are refused, 0 to 1
 	meanWork float64 // of landed jobs
 	inUse    float64 // our slots in flight at all workers
 	extra    float64
@@ -201,7 +208,7 @@
 	for i := range d.kinds {
 		d.kinds[i] = d.all
 	}
-	d.bases = make([]Time, s.Zones+1)
+	d.zones = make([]zoneState, s.Zones+1)
 	for _, c := range s.Classes {
 		d.meanWork = max(d.meanWork, float64(c.Aim))
 		aim := math.Log(float64(max(c.Aim, 1)))
@@ -284,7 +291,7 @@
 		}
 	case Probed:
 		if w := d.worker(e.Worker); w != nil {
-			d.probed(w, e)
+			d.reported(w, e)
 		}
 	case TimerFired:
 		if d.armedAt <= d.now {
@@ -466,12 +473,12 @@
 	w.Worker, w.told = *n, n.State != Gone
 }
 
-// base is the quickest start seen in a worker's zone.
-func (d *Dispatcher) base(w *worker) *Time {
+// zone is the state of a worker's zone.
+func (d *Dispatcher) zone(w *worker) *zoneState {
 	if w.Zone >= 0 && w.Zone < d.s.Zones {
-		return &d.bases[w.Zone]
+		return &d.zones[w.Zone]
 	}
-	return &d.bases[d.s.Zones]
+	return &d.zones[d.s.Zones]
 }
 
 // held lists: entries live as long as their job is held under the same ticket.
