--- a/rules/rules.go
+++ b/rules/rules.go
@@ -15,7 +15,7 @@
 	drawsMost  = 4                 // draws for a pick that may take the job now
 	joinTick   = 10 * Millisecond  // no room for this long: further workers join the picks
 	joinSlower = 5                 // ticks between further joins at the most
-	crossCost  = 2.0               // of a room that one crossing weighs, times its price
+	crossCost  = 5.0               // of a room that one crossing weighs, times its price
 	crossWait  = 2 * Second / 10   // longer wait, times the price of a crossing, before other zones do
 	roomStart  = 2.0               // slots; every dispatcher takes this of a worker whose size nobody knows
 	roomStep   = 0.5               // slots of room for each slot of success at the room
@@ -25,8 +25,8 @@
 	queueSlack = 40 * Millisecond  // a start this far past two of the quickest: a queue at the worker
 	copySlack  = 10 * Millisecond  // the same where a copy elsewhere costs nothing
 	waitWeight = 0.1               // weight of the newest start in the mean waits of a kind and a zone
-	shedUp     = 0.2               // more of the landings are refused for each job that starts too late ...
-	shedDown   = 0.05              // ... and less for each that starts in time: a fifth may be late
+	shedUp     = 0.1               // more of the landings are refused for each job that starts too late ...
+	shedDown   = 0.07              // ... and less for each that starts in time: a fifth may be late
 	shedSkew   = 3.0               // power: how much rather the landings that earn less are refused
 	cheapWaste = 0.1               // price of wasted work up to which copies are raced
 	copyGap    = 20 * Millisecond  // before the last useful moment a waiting job is entered elsewhere
@@ -566,7 +566,7 @@
 // run all the same, so the budget bounds it, and it ends when many start late: then a copy meets the same queues.
 func (d *Dispatcher) move(j *job, a *attempt) {
 	a.moved = true
-	if j.ticket != 0 || d.extra < 1 || d.shed > shedUp || len(j.attempts) >= d.s.MaxAttempts {
+	if j.ticket != 0 || d.extra < 1 || d.shed > 0.3 || len(j.attempts) >= d.s.MaxAttempts {
 		return
 	}
 	if d.s.SecondCopies {
