--- a/rules/rules.go
+++ b/rules/rules.go
@@ -15,7 +15,7 @@
 	drawsMost  = 4                 // draws for a pick that may take the job now
 	joinTick   = 10 * Millisecond  // no room for this long: further workers join the picks
 	joinSlower = 5                 // ticks between further joins at the most
-	crossCost  = 5.0               // of a room that one crossing weighs, times its price
+	crossCost  = 10.               // of a room that one crossing weighs, times its price
 	crossWait  = 2 * Second / 10   // longer wait, times the price of a crossing, before other zones do
 	roomStart  = 2.0               // slots; every dispatcher takes this of a worker whose size nobody knows
 	roomStep   = 0.5               // slots of room for each slot of success at the room
@@ -566,7 +566,7 @@
 // run all the same, so the budget bounds it, and it ends when many start late: then a copy meets the same queues.
 func (d *Dispatcher) move(j *job, a *attempt) {
 	a.moved = true
-	if j.ticket != 0 || d.extra < 1 || d.shed > 0.3 || len(j.attempts) >= d.s.MaxAttempts {
+	if j.ticket != 0 || d.extra < 1 || d.shed > 0.6 || len(j.attempts) >= d.s.MaxAttempts {
 		return
 	}
 	if d.s.SecondCopies {
