--- a/rules/rules.go
+++ b/rules/rules.go
@@ -15,7 +15,7 @@
 	drawsMost  = 4                 // draws for a pick that may take the job now
 	joinTick   = 10 * Millisecond  // no room for this long: further workers join the picks
 	joinSlower = 5                 // ticks between further joins at the most
-	crossCost  = 10.               // of a room that one crossing weighs, times its price
+	crossCost  = 5.0               // of a room that one crossing weighs, times its price
 	crossWait  = 2 * Second / 10   // longer wait, times the price of a crossing, before other zones do
 	roomStart  = 2.0               // slots; every dispatcher takes this of a worker whose size nobody knows
 	roomStep   = 0.5               // slots of room for each slot of success at the room
@@ -44,7 +44,8 @@
 	extraShare = 0.15              // further attempts for each landing: bounds retry storms
 	extraMost  = 10.0              // further attempts saved up at most
 	coldChance = 1.0               // of the root of a count by chance: one window in hundreds holds more
-	usualOver  = 10 * Second       // over which our usual traffic is taken
+	usualOver  = 5.0               // seconds of landings that an equal part of all traffic weighs against ours
+	shareLeast = 3.0               // requests that a tenant may send at once at the least
 	shareDepth = 1.0               // seconds of its quota that a tenant may send at once
 	scanMost   = 8                 // held jobs looked at for one that fits: bounds the work of an event
 	askAgain   = 200 * Millisecond // first wait before a lost list is asked for again: doubles
@@ -220,12 +221,11 @@
 		return false
 	}
 	if !retry {
-		keep := math.Exp(-float64(d.now-d.landedAt) / float64(usualOver))
-		d.landRate = d.landRate*keep + float64(Second)/float64(usualOver)
-		d.landedAt = d.now
+		d.landings++
 	}
-	rate := t.Quota * min(1, d.landRate/d.quotas)
-	t.left = min(max(1, rate*shareDepth), t.left+rate*float64(d.now-t.at)/float64(Second))
+	usual := (d.quotas/float64(d.s.GroupSize)*usualOver + d.landings) / (usualOver + float64(d.now-d.bornAt)/float64(Second))
+	rate := t.Quota * min(1, usual/d.quotas)
+	t.left = min(max(shareLeast, rate*shareDepth), t.left+rate*float64(d.now-t.at)/float64(Second))
 	t.at = d.now
 	over := t.left < 1
 	if !over && !retry {
@@ -566,7 +566,7 @@
 // run all the same, so the budget bounds it, and it ends when many start late: then a copy meets the same queues.
 func (d *Dispatcher) move(j *job, a *attempt) {
 	a.moved = true
-	if j.ticket != 0 || d.extra < 1 || d.shed > 0.6 || len(j.attempts) >= d.s.MaxAttempts {
+	if j.ticket != 0 || d.extra < 1 || d.shed > 0.3 || len(j.attempts) >= d.s.MaxAttempts {
 		return
 	}
 	if d.s.SecondCopies {
--- a/rules/state.go
+++ b/rules/state.go
@@ -168,9 +168,9 @@
 	out      []Action
 	classes  []classState
 	tenants  []tenantState
-	quotas   float64 // of all tenants together
-	landRate float64 // our usual landings a second
-	landedAt Time
+	quotas   float64   // of all tenants together
+	landings float64   // but for retries
+	bornAt   Time      // of the first event
 	workers  []*worker // by id
 	kinds    []kindState
 	zones    []zoneState
@@ -219,7 +219,6 @@
 		d.tenants = append(d.tenants, tenantState{Tenant: t})
 		d.quotas += t.Quota
 	}
-	d.landRate = d.quotas / float64(s.GroupSize)
 	return d, nil
 }
 
@@ -271,6 +270,9 @@
 // Handle decides on one event and appends what is to be done to out.
 func (d *Dispatcher) Handle(now Time, e *Event, out []Action) []Action {
 	d.now, d.out = max(now, d.now), out
+	if d.bornAt == 0 {
+		d.bornAt = d.now
+	}
 	j := d.job(e.Request)
 	switch e.Kind {
 	case ListSnapshot, ListChange:
