--- a/rules/rules.go
+++ b/rules/rules.go
@@ -25,8 +25,9 @@
 	queueSlack = 40 * Millisecond  // a start this far past two of the quickest: a queue at the worker
 	copySlack  = 10 * Millisecond  // the same where a copy elsewhere costs nothing
 	waitWeight = 0.1               // weight of the newest start in the mean waits of a kind and a zone
-	shedUp     = 0.1               // more of the landings are refused for each job that starts too late ...
-	shedDown   = 0.07              // ... and less for each that starts in time: a fifth may be late
+	shedUp     = 0.3               // more of the landings are refused for each job that starts too late ...
+	shedDown   = 0.1               // ... and less for each that starts in time: a fifth may be late
+	shedFade   = 5 * Second        // over which refusing fades by itself: who refuses all sees no start
 	shedSkew   = 3.0               // power: how much rather the landings that earn less are refused
 	cheapWaste = 0.1               // price of wasted work up to which copies are raced
 	copyGap    = 20 * Millisecond  // before the last useful moment a waiting job is entered elsewhere
@@ -234,8 +235,15 @@
 	return over
 }
 
+// fade lets the refusing pass with time.
+func (d *Dispatcher) fade() {
+	d.shed *= math.Exp(-float64(d.now-d.shedAt) / float64(shedFade))
+	d.shedAt = d.now
+}
+
 // press follows how many of our jobs start too late: with many dispatchers the queues stand at the workers.
 func (d *Dispatcher) press(late bool) {
+	d.fade()
 	if late {
 		d.shed = min(1, d.shed+shedUp)
 	} else {
@@ -253,7 +261,7 @@
 		j.band = behind
 		value *= d.s.OverShareWorth
 	}
-	if d.shed > 0 && d.rng.Float64() < math.Pow(d.shed, shedSkew*value) {
+	if d.fade(); d.rng.Float64() < math.Pow(d.shed, shedSkew*value) {
 		d.finish(j) // guards against queues at the workers in which all end late
 		return
 	}
--- a/rules/state.go
+++ b/rules/state.go
@@ -188,6 +188,7 @@
 	all      kindState
 	room     float64 // mean of rooms at the ends of jobs
 	fails    float64 // share of failures at all workers
+	shedAt   Time
 	shed     float64 // how hard landings are refused, 0 to 1
 	meanWork float64 // of landed jobs
 	inUse    float64 // our slots in flight at all workers
