--- a/rules/rules.go
+++ b/rules/rules.go
@@ -294,7 +294,7 @@
 // draw joins the lists of pickCount further workers, and asks those for their load of which nothing is known.
 func (d *Dispatcher) draw(j *job) {
 	for i := range pickCount {
-		w := d.pick(j, i == 0)
+		w := d.pick(j, i == 0 || d.rng.Float64() >= d.farShare(j))
 		if w == nil || j.picked(w) {
 			continue
 		}
@@ -306,6 +306,15 @@
 	}
 }
 
+// farShare is the chance that a pick is drawn from all zones: it grows as starts wait in the own one, the more so the
+// cheaper a crossing is, and as the job waits.
+func (d *Dispatcher) farShare(j *job) float64 {
+	if d.now >= j.heldAt+d.joinAfter(true) || d.s.Zone < 0 {
+		return 1
+	}
+	return d.zones[d.s.Zone].wait / (crossCost * d.s.PriceCross)
+}
+
 // pick draws a random ready worker, one in the own zone if crossings have a price. It draws again where a worker is
 // not to be used now.
 func (d *Dispatcher) pick(j *job, near bool) *worker {
@@ -644,7 +653,7 @@
 	wait := float64(max(0, delay-z.base-queueSlack)) / (d.meanWork * d.all.pace)
 	w.kind.wait += (wait - w.kind.wait) * waitWeight
 	z.wait += (wait - z.wait) * waitWeight
-	d.press(d.now+Time(d.expect(j)*d.paceOf(w)) > j.aimAt)
+	d.press(a.queued && d.now+Time(d.expect(j)*d.paceOf(w)) > j.aimAt)
 	if j.open && d.races(j) {
 		d.unhold(j)
 		d.pullBut(j, a)
