--- a/rules/rules.go
+++ b/rules/rules.go
@@ -20,7 +20,7 @@
 	roomStart  = 2.0               // slots; every dispatcher takes this of a worker whose size nobody knows
 	roomStep   = 0.5               // slots of room for each slot of success at the room
 	roomFloor  = 1.0 / 8           // slots; a job now and then keeps a worker's notes coming
-	roomFade   = 50.               // usual runs until a cut is forgotten: others' load has changed by then
+	roomFade   = 2.0               // usual runs until a cut is forgotten: others' load has changed by then
 	pauseCut   = 0.75              // factor on a room of one job that queued behind others
 	queueSlack = 40 * Millisecond  // a start this far past two of the quickest: a queue at the worker
 	copySlack  = 10 * Millisecond  // the same where a copy elsewhere costs nothing
