--- a/internal/simwire/names.go
+++ b/internal/simwire/names.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 
 	"birchfork/rules"
 )
@@ -12,6 +13,7 @@
 
 	workers     map[string]rules.WorkerID
 	workerNames []string
+	workerTags  []uint64 // hashes of the names: the same at every instance
 
 	requests map[string]rules.RequestID
 	slots    []slot
@@ -47,6 +49,9 @@
 		id = rules.WorkerID(len(n.workerNames))
 		n.workers[v] = id
 		n.workerNames = append(n.workerNames, v)
+		h := fnv.New32a()
+		h.Write([]byte(v))
+		n.workerTags = append(n.workerTags, uint64(h.Sum32()))
 	}
 	return id
 }
--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -145,6 +145,8 @@
 		Kinds:          len(kinds),
 		Zone:           -1,
 		GroupSize:      p.whole("group_size", 1),
+		Ordinal:        p.whole("ordinal", 0),
+		CanTell:        p.flag("policy_limits.peers", false),
 		Tick:           p.time("tick", rules.Millisecond),
 		MaxAttempts:    p.whole("policy_limits.attempts_cap", 1),
 		CanCancel:      p.flag("policy_limits.cancel", false),
--- a/internal/simwire/wire.go
+++ b/internal/simwire/wire.go
@@ -5,6 +5,8 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/base64"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
@@ -294,9 +296,15 @@
 	case "MEMBERSHIP":
 		return true, r.readMembership(f, n)
 	case "DATAGRAM":
-		f.whole("src_peer", 0, 1<<30, -1)
-		f.next("raw")
-		return false, f.done()
+		e.Kind = rules.Heard
+		e.Peer = int(f.whole("src_peer", 0, 1<<30, -1))
+		raw := f.next("raw")
+		if err := f.done(); err != nil {
+			return false, err
+		}
+		var known bool
+		e.Note, known = readNote(raw)
+		return known, nil
 	}
 	return false, errors.New("the message is unknown")
 }
@@ -375,6 +383,7 @@
 		w := rules.Worker{
 			ID: n.worker(row.worker), Cell: row.cell, State: row.state, StartedAt: row.startedAt, Weight: row.weight,
 		}
+		w.Tag = n.workerTags[w.ID]
 		w.Zone, w.Kind = idOr(n.zones, row.zone), idOr(n.kinds, row.kind)
 		e.Workers = append(e.Workers, w)
 	}
@@ -419,3 +428,29 @@
 
 // Names returns the names of a started instance.
 func (r *Reader) Names(instance int) *Names { return r.names[instance] }
+
+// noteSize is the length of a note: kind, tag, slots in eighths.
+const noteSize = 6
+
+// readNote reads a peer's note; it reports false for what no peer of this version sends.
+func readNote(raw []byte) (n rules.Note, known bool) {
+	var b [2 * noteSize]byte
+	if base64.StdEncoding.DecodedLen(len(raw)) > len(b) {
+		return n, false
+	}
+	k, err := base64.StdEncoding.Decode(b[:], raw)
+	if err != nil || k != noteSize || b[0] > byte(rules.Use) {
+		return n, false
+	}
+	n = rules.Note{Kind: rules.NoteKind(b[0]), Tag: uint64(binary.BigEndian.Uint32(b[1:])), Slots: float64(b[5]) / 8}
+	return n, true
+}
+
+// appendNote writes a note.
+func appendNote(buf []byte, n rules.Note) []byte {
+	var b [noteSize]byte
+	b[0] = byte(n.Kind)
+	binary.BigEndian.PutUint32(b[1:], uint32(n.Tag))
+	b[5] = byte(min(max(n.Slots*8, 0), 255))
+	return base64.StdEncoding.AppendEncode(buf, b[:])
+}
--- a/internal/simwire/writer.go
+++ b/internal/simwire/writer.go
@@ -64,6 +64,9 @@
 		w.buf = append(w.buf, "LOOKUP"...)
 	case rules.Probe:
 		w.buf = append(append(w.buf, "PROBE\t"...), n.workerNames[a.Worker]...)
+	case rules.Tell:
+		w.buf = strconv.AppendInt(append(w.buf, "WRITE_PEER\t"...), int64(a.Peer), 10)
+		w.buf = appendNote(append(w.buf, '\t'), a.Note)
 	default:
 		return fmt.Errorf("action kind %d is unknown", a.Kind)
 	}
--- a/rules/interface.go
+++ b/rules/interface.go
@@ -69,6 +69,8 @@
 	Zones, Kinds   int      // how many there are
 	Zone           int      // where this dispatcher is, or -1
 	GroupSize      int      // dispatchers in the group, this one included
+	Ordinal        int      // our own number in the group, from 0
+	CanTell        bool     // dispatchers may send each other notes
 	Tick           Time     // the shortest time between two calls of the dispatcher
 
 	MaxAttempts    int // attempts for one request
@@ -111,6 +113,7 @@
 	ClientGone                    // Request: no answer is owed any more
 	TimerFired
 	Probed // Worker, Result, Report
+	Heard  // Peer, Note
 )
 
 // Result is how an attempt or a probe ended.
@@ -152,6 +155,25 @@
 	Stale   bool // a copy kept from before a restart
 	Workers []Worker
 	Report  Report
+	Peer    int // its number in the group
+	Note    Note
+}
+
+// NoteKind tells notes between dispatchers apart.
+type NoteKind uint8
+
+// The notes.
+const (
+	Ask  NoteKind = iota // how much of the worker is in use?
+	Load                 // Slots: so much, by all
+	Use                  // Slots: so much, by the sender
+)
+
+// Note is a message between dispatchers on one worker.
+type Note struct {
+	Kind  NoteKind
+	Tag   uint64
+	Slots float64
 }
 
 // State is what the list says of a worker.
@@ -170,6 +192,7 @@
 	Zone, Kind, Cell int
 	State            State
 	StartedAt        Time    // 0: long ago
+	Tag              uint64  // the same at every dispatcher
 	Weight           float64 // its size against the others', roughly; 0: not told
 }
 
@@ -193,6 +216,7 @@
 	WatchList                   // ask for the list's changes from now on
 	FetchList                   // ask for the whole list once
 	Probe                       // Worker
+	Tell                        // Peer, Note
 )
 
 // Action is one thing to do. Attempts of a request are numbered 0, 1, 2 in the order of their Sends.
@@ -202,4 +226,6 @@
 	Attempt int
 	Worker  WorkerID
 	Wait    Time
+	Peer    int
+	Note    Note
 }
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -3,10 +3,7 @@
 
 package rules
 
-import (
-	"math"
-	"slices"
-)
+import "math"
 
 // Constants: value, unit, reason. docs/design.md tells how sensitive the results are to each.
 const (
@@ -30,7 +27,9 @@
 	shedFade   = 5 * Second        // over which refusing fades by itself: who refuses all sees no start
 	shedSkew   = 3.0               // power: how much rather the landings that earn less are refused
 	cheapWaste = 0.1               // price of wasted work up to which copies are raced
-	copyGap    = 20 * Millisecond  // before the last useful moment a waiting job is entered elsewhere
+	askLife    = 25 * Millisecond  // a pick's load is waited for this long: messages may get lost
+	noteLife   = 10 * Second       // a peer's word on its use counts this long: so does its end if that gets lost
+	homeAfter  = 3 * Second        // a home that has just started has not heard from all
 	reportLife = 200 * Millisecond // a report counts this long: slots turn over within a run
 	stallSlack = 400 * Millisecond // a progress note later than this is no pause: the worker stands still
 	failWeight = 0.2               // weight of the newest outcome in a worker's share of failures
@@ -75,6 +74,11 @@
 		d.spaceTrials(w)
 	}
 	d.emit(Action{Kind: Send, Request: j.id, Worker: w.ID})
+	if d.knows(w) {
+		w.load += j.need
+		j.attempts[len(j.attempts)-1].load = w.load
+	}
+	d.tellUse(w)
 	d.schedule(j)
 	return true
 }
@@ -303,6 +307,7 @@
 		}
 		j.picks = append(j.picks, w)
 		w.lists[j.band].push(j)
+		d.askLoad(w)
 	}
 }
 
@@ -346,6 +351,9 @@
 func (d *Dispatcher) place(j *job) bool {
 	var best *worker
 	for _, w := range j.picks {
+		if w.askedAt > w.loadAt && d.now < w.askedAt+askLife {
+			return false // its load is on its way
+		}
 		best = d.better(j, best, w)
 	}
 	return best != nil && d.send(j, best)
@@ -366,9 +374,110 @@
 	return a
 }
 
+// ---- Notes. Where dispatchers may tell each other, each worker has a home among them, which adds up what all use of
+// it. A lost note costs nothing but that a pick is made without.
+
+func (d *Dispatcher) home(w *worker) int { return int(w.Tag % uint64(d.s.GroupSize)) }
+
+// askLoad asks a worker's home for its load.
+func (d *Dispatcher) askLoad(w *worker) {
+	if d.s.CanTell && d.now >= w.askedAt+askLife {
+		w.askedAt = d.now
+		if h := d.home(w); h == d.s.Ordinal {
+			d.loadIs(w, d.total(w.Tag))
+		} else {
+			d.emit(Action{Kind: Tell, Peer: h, Note: Note{Kind: Ask, Tag: w.Tag}})
+		}
+	}
+}
+
+// tellUse tells a worker's home what we use of it.
+func (d *Dispatcher) tellUse(w *worker) {
+	if d.s.CanTell {
+		n := Note{Kind: Use, Tag: w.Tag, Slots: w.use}
+		if h := d.home(w); h == d.s.Ordinal {
+			d.noteUse(h, n)
+		} else {
+			d.emit(Action{Kind: Tell, Peer: h, Note: n})
+		}
+	}
+}
+
+func (d *Dispatcher) noteUse(peer int, n Note) {
+	uses := d.uses[n.Tag]
+	i := 0
+	for i < len(uses) && uses[i].peer != peer {
+		i++
+	}
+	if i == len(uses) {
+		uses = append(uses, peerUse{peer: peer})
+	}
+	uses[i].slots, uses[i].at = n.Slots, d.now
+	if n.Slots <= 0 {
+		uses[i] = uses[len(uses)-1]
+		uses = uses[:len(uses)-1]
+	}
+	d.uses[n.Tag] = uses
+}
+
+// total is what all have told to use of a worker; -1 while too little can be known.
+func (d *Dispatcher) total(tag uint64) float64 {
+	if d.now < d.bornAt+homeAfter {
+		return -1
+	}
+	sum := 0.0
+	for _, u := range d.uses[tag] {
+		if d.now < u.at+noteLife {
+			sum += u.slots
+		}
+	}
+	return sum
+}
+
+func (d *Dispatcher) loadIs(w *worker, load float64) {
+	w.loadAt, w.load = d.now, load
+}
+
+// heard takes a peer's note.
+func (d *Dispatcher) heard(peer int, n Note) {
+	switch n.Kind {
+	case Ask:
+		if load := d.total(n.Tag); load >= 0 {
+			d.emit(Action{Kind: Tell, Peer: peer, Note: Note{Kind: Load, Tag: n.Tag, Slots: load}})
+		}
+	case Use:
+		d.noteUse(peer, n)
+	case Load:
+		w := d.tags[n.Tag]
+		if w == nil {
+			return
+		}
+		d.loadIs(w, n.Slots)
+		for b := range w.lists {
+			for _, e := range w.lists[b].items[w.lists[b].head:] {
+				if e.live() {
+					d.place(e.j)
+				}
+			}
+		}
+	}
+}
+
+// knows says whether w's load is known by a fresh note.
+func (d *Dispatcher) knows(w *worker) bool {
+	return w.loadAt > 0 && w.load >= 0 && d.now < w.loadAt+askLife
+}
+
 // usage is the share of its room that w would use with the job, and what else counts against w: that starts wait at
 // its kind and in its zone, as little is seen of one worker, and the price of a crossing.
 func (d *Dispatcher) usage(j *job, w *worker) float64 {
+	if d.knows(w) {
+		use := (w.load + j.need) / w.kind.size
+		if w.Zone != d.s.Zone {
+			use += crossCost * d.s.PriceCross
+		}
+		return use
+	}
 	use := (w.use+j.need)/d.roomOf(w) + w.kind.wait + d.zone(w).wait
 	if w.Zone != d.s.Zone {
 		use += crossCost * d.s.PriceCross
@@ -421,6 +530,13 @@
 	if d.now < w.capUntil && w.use+j.need > w.cap {
 		return false
 	}
+	if d.knows(w) {
+		queue := 0.0
+		if d.now >= j.heldAt+d.joinAfter(true) {
+			queue = 1
+		}
+		return w.load+j.need <= w.kind.size+queue
+	}
 	return w.use+j.need <= d.roomOf(w) || w.use == 0 && d.now >= w.openAt
 }
 
@@ -544,9 +660,6 @@
 	if a.out && a.startedAt == 0 && !a.queued && d.s.TellsStart {
 		return a.sentAt + d.startBy(j, a.w)
 	}
-	if a.out && a.startedAt == 0 && !a.moved && !d.races(j) && j.class.Effect != Unsafe {
-		return max(a.sentAt+1, j.aimAt-Time(d.expect(j)*d.all.pace)-copyGap)
-	}
 	if a.out && a.startedAt > 0 && !a.stalled && d.s.Progress > 0 {
 		return a.noteAt + d.s.Progress + stallSlack
 	}
@@ -563,10 +676,6 @@
 		d.suspect(a.w) // guards against a worker that takes jobs and answers none
 		return
 	}
-	if a.queued {
-		d.move(j, a)
-		return
-	}
 	a.queued = true
 	d.cut(a.w)
 	if !d.races(j) || len(j.attempts) >= d.s.MaxAttempts || j.running() || j.ticket != 0 {
@@ -579,23 +688,6 @@
 	d.pullBut(j, a)
 }
 
-// move enters a job elsewhere that waits at a worker, at the last moment at which that can help. The old attempt may
-// run all the same, so the budget bounds it, and it ends when many start late: then a copy meets the same queues.
-func (d *Dispatcher) move(j *job, a *attempt) {
-	a.moved = true
-	if j.ticket != 0 || d.extra < 1 || d.shed > 0.3 || len(j.attempts) >= d.s.MaxAttempts {
-		return
-	}
-	if d.s.SecondCopies {
-		d.extra--
-		d.hold(j)
-	} else if d.s.CanCancel {
-		d.extra--
-		a.pulled = true
-		d.emit(Action{Kind: Cancel, Request: j.id, Attempt: slices.IndexFunc(j.attempts, func(b attempt) bool { return b.moved })})
-	}
-}
-
 // again holds a job for a further attempt where rules, budget and time allow one; it reports whether it does.
 func (d *Dispatcher) again(j *job, a *attempt) bool {
 	if d.now >= d.until(j) && !d.demote(j) || len(j.attempts) >= d.s.MaxAttempts {
@@ -646,6 +738,9 @@
 	w.sign()
 	w.running += j.need
 	w.kind.size = max(w.kind.size, w.running)
+	if !a.queued {
+		w.kind.size = max(w.kind.size, min(a.load, w.kind.size+1))
+	}
 	z := d.zone(w)
 	if z.base == 0 || delay < z.base {
 		z.base = delay
@@ -678,6 +773,7 @@
 	a.out, a.neverRan = false, e.Result == Full || e.Result == NotSent || e.Result == Unreachable
 	w.use -= j.need
 	d.inUse -= j.need
+	d.tellUse(w)
 	if a.startedAt > 0 {
 		w.running -= j.need
 	}
--- a/rules/state.go
+++ b/rules/state.go
@@ -26,9 +26,9 @@
 	noteAt    Time // of the last sign of progress
 	out       bool
 	neverRan  bool
-	queued    bool // has told of a queue at the worker
-	pulled    bool // taken back
-	moved     bool // was due to be entered elsewhere
+	queued    bool    // has told of a queue at the worker
+	pulled    bool    // taken back
+	load      float64 // slots that all used there with it, as far as known
 	stalled   bool
 }
 
@@ -104,6 +104,13 @@
 	hintVar, hintCov float64 // and how they go together
 }
 
+// peerUse is what a peer has told to use of a worker.
+type peerUse struct {
+	peer  int
+	slots float64
+	at    Time
+}
+
 type tenantState struct {
 	Tenant
 	left float64 // requests within the share
@@ -137,6 +144,9 @@
 	openAt   Time    // end of a pause
 	cap      float64 // slots, by the last report
 	capUntil Time
+	load     float64 // slots that all dispatchers use there, by its home's word
+	loadAt   Time
+	askedAt  Time
 	pace     float64
 	runs     float64
 	fails    float64
@@ -189,6 +199,8 @@
 	room     float64 // mean of rooms at the ends of jobs
 	fails    float64 // share of failures at all workers
 	shedAt   Time
+	uses     map[uint64][]peerUse // of the workers whose home we are
+	tags     map[uint64]*worker
 	shed     float64 // how hard landings are refused, 0 to 1
 	meanWork float64 // of landed jobs
 	inUse    float64 // our slots in flight at all workers
@@ -209,6 +221,7 @@
 	for i := range d.kinds {
 		d.kinds[i] = d.all
 	}
+	d.uses, d.tags = map[uint64][]peerUse{}, map[uint64]*worker{}
 	d.zones = make([]zoneState, s.Zones+1)
 	for _, c := range s.Classes {
 		d.meanWork = max(d.meanWork, float64(c.Aim))
@@ -296,6 +309,8 @@
 		if w := d.worker(e.Worker); w != nil {
 			d.reported(w, e)
 		}
+	case Heard:
+		d.heard(e.Peer, e.Note)
 	case TimerFired:
 		if d.armedAt <= d.now {
 			d.armedAt = never
@@ -469,6 +484,7 @@
 			w.kind = &d.kinds[n.Kind]
 		}
 		d.workers[n.ID] = w
+		d.tags[n.Tag] = w
 		d.welcome(w)
 	} else if n.StartedAt > w.StartedAt {
 		d.welcome(w)
