--- a/rules/rules.go
+++ b/rules/rules.go
@@ -29,7 +29,7 @@
 	cheapWaste = 0.1               // price of wasted work up to which copies are raced
 	askLife    = 25 * Millisecond  // a pick's load is waited for this long: messages may get lost
 	noteLife   = 10 * Second       // a peer's word on its use counts this long: so does its end if that gets lost
-	homeAfter  = 3 * Second        // a home that has just started has not heard from all
+	homeAfter  = 1 * Second        // a home that has just started has not heard from all
 	reportLife = 200 * Millisecond // a report counts this long: slots turn over within a run
 	stallSlack = 400 * Millisecond // a progress note later than this is no pause: the worker stands still
 	failWeight = 0.2               // weight of the newest outcome in a worker's share of failures
@@ -617,9 +617,11 @@
 		d.finish(j)
 	} else if j.ticket != 0 && d.now >= j.joinAt {
 		j.step++
-		d.draw(j)
 		d.joinNext(j)
-		d.place(j)
+		if !d.place(j) {
+			d.draw(j)
+			d.place(j)
+		}
 	}
 	if j.open {
 		d.schedule(j)
@@ -627,7 +629,12 @@
 }
 
 // joinNext sets when further workers join a held job's picks.
-func (d *Dispatcher) joinNext(j *job) { j.joinAt = d.now + joinTick*Time(min(j.step+1, joinSlower)) }
+func (d *Dispatcher) joinNext(j *job) {
+	j.joinAt = d.now + joinTick*Time(min(j.step+1, joinSlower))
+	if d.s.CanTell {
+		j.joinAt = max(j.joinAt, d.now+askLife)
+	}
+}
 
 // hopeless says whether a job whose attempts all wait at workers is worth nothing from a time on.
 func (d *Dispatcher) hopeless(j *job, at Time) bool {
