--- a/rules/rules.go
+++ b/rules/rules.go
@@ -381,7 +381,7 @@
 
 // askLoad asks a worker's home for its load.
 func (d *Dispatcher) askLoad(w *worker) {
-	if d.s.CanTell && d.now >= w.askedAt+askLife {
+	if d.s.CanTell && w.use == 0 && d.now >= w.askedAt+askLife {
 		w.askedAt = d.now
 		if h := d.home(w); h == d.s.Ordinal {
 			d.loadIs(w, d.total(w.Tag))
@@ -465,7 +465,7 @@
 
 // knows says whether w's load is known by a fresh note.
 func (d *Dispatcher) knows(w *worker) bool {
-	return w.loadAt > 0 && w.load >= 0 && d.now < w.loadAt+askLife
+	return w.use == 0 && w.loadAt > 0 && w.load >= 0 && d.now < w.loadAt+askLife
 }
 
 // usage is the share of its room that w would use with the job, and what else counts against w: that starts wait at
