--- a/rules/rules.go
+++ b/rules/rules.go
@@ -8,7 +8,8 @@
 // Constants: value, unit, reason. docs/design.md tells how sensitive the results are to each.
 const (
 	pickCount  = 2                 // held lists that a job joins at its landing: the paper's d
-	picksMost  = 16                // picks weighed for one job: bounds the work of an event
+	joinCount  = 8                 // lists that it joins each time it has found no room
+	picksMost  = 32                // picks weighed for one job: bounds the work of an event
 	drawsMost  = 4                 // draws for a pick that may take the job now
 	joinTick   = 10 * Millisecond  // no room for this long: further workers join the picks
 	joinSlower = 5                 // ticks between further joins at the most
@@ -289,16 +290,16 @@
 	d.joinNext(j)
 	d.waiting[j.band] += j.need
 	d.held[j.band].push(j)
-	d.draw(j)
+	d.draw(j, pickCount)
 	if !d.place(j) {
 		d.schedule(j)
 	}
 }
 
-// draw joins the lists of pickCount further workers, and asks those for their load of which nothing is known.
-func (d *Dispatcher) draw(j *job) {
-	for i := range pickCount {
-		w := d.pick(j, i == 0 || d.rng.Float64() >= d.farShare(j))
+// draw joins the lists of n further workers.
+func (d *Dispatcher) draw(j *job, n int) {
+	for i := range n {
+		w := d.pick(j, i%2 == 0 || d.rng.Float64() >= d.farShare(j))
 		if w == nil || j.picked(w) {
 			continue
 		}
@@ -619,7 +620,7 @@
 		j.step++
 		d.joinNext(j)
 		if !d.place(j) {
-			d.draw(j)
+			d.draw(j, joinCount)
 			d.place(j)
 		}
 	}
@@ -898,7 +899,7 @@
 			continue
 		}
 		for _, j := range w.orphans() { // a new pick each
-			d.draw(j)
+			d.draw(j, 1)
 		}
 	}
 }
