--- a/rules/rules.go
+++ b/rules/rules.go
@@ -10,31 +10,25 @@
 	pickCount  = 2                 // held lists that a job joins at its landing: the paper's d
 	joinCount  = 8                 // lists that it joins each time it has found no room
 	picksMost  = 32                // picks weighed for one job: bounds the work of an event
-	drawsMost  = 4                 // draws for a pick that may take the job now
+	drawsMost  = 4                 // draws for a pick that is fit for use
+	scanMost   = 8                 // held jobs looked at for one that fits: bounds the work of an event
 	joinTick   = 10 * Millisecond  // no room for this long: further workers join the picks
 	joinSlower = 5                 // ticks between further joins at the most
-	crossCost  = 5.0               // of a room that one crossing weighs, times its price
-	crossWait  = 2 * Second / 10   // longer wait, times the price of a crossing, before other zones do
+	crossWait  = 2 * Second / 10   // longer wait, times the price of a crossing, before other zones join
+	crossCost  = 5.0               // rooms that a crossing weighs, times its price
 	roomStart  = 2.0               // slots; every dispatcher takes this of a worker whose size nobody knows
 	roomStep   = 0.5               // slots of room for each slot of success at the room
 	roomFloor  = 1.0 / 8           // slots; a job now and then keeps a worker's notes coming
 	roomFade   = 2.0               // usual runs until a cut is forgotten: others' load has changed by then
 	pauseCut   = 0.75              // factor on a room of one job that queued behind others
 	queueSlack = 40 * Millisecond  // a start this far past two of the quickest: a queue at the worker
-	copySlack  = 10 * Millisecond  // the same where a copy elsewhere costs nothing
+	copySlack  = 10 * Millisecond  // the same where a copy elsewhere costs next to nothing
 	waitWeight = 0.1               // weight of the newest start in the mean waits of a kind and a zone
-	shedUp     = 0.3               // more of the landings are refused for each job that starts too late ...
-	shedDown   = 0.1               // ... and less for each that starts in time: a fifth may be late
-	shedFade   = 5 * Second        // over which refusing fades by itself: who refuses all sees no start
-	shedSkew   = 3.0               // power: how much rather the landings that earn less are refused
-	cheapWaste = 0.1               // price of wasted work up to which copies are raced
-	askLife    = 25 * Millisecond  // a pick's load is waited for this long: messages may get lost
-	noteLife   = 10 * Second       // a peer's word on its use counts this long: so does its end if that gets lost
-	homeAfter  = 1 * Second        // a home that has just started has not heard from all
-	reportLife = 200 * Millisecond // a report counts this long: slots turn over within a run
+	reportLife = 200 * Millisecond // a report of free slots counts this long: slots turn over within a run
 	stallSlack = 400 * Millisecond // a progress note later than this is no pause: the worker stands still
-	failWeight = 0.2               // weight of the newest outcome in a worker's share of failures
+	failWeight = 0.2               // weight of the newest outcome in a worker's share of failures, at the least
 	failMargin = 0.25              // share of failures above twice the peers': distrust
+	zoneWeight = 0.3               // weight of the newest connect in a zone's share of lost ones; half: out of reach
 	trialGap   = 250 * Millisecond // between the first trials of a worker that is distrusted or silent
 	trialMost  = 4 * Second        // between its trials at the most: they double
 	paceWeight = 0.2               // weight of the newest run in a worker's pace
@@ -44,11 +38,17 @@
 	usualRuns  = 0.005             // weight of the newest run in its class's usual run: slowdowns pass sooner
 	extraShare = 0.15              // further attempts for each landing: bounds retry storms
 	extraMost  = 10.0              // further attempts saved up at most
+	cheapWaste = 0.1               // price of wasted work up to which a waiting job is entered twice
+	shedUp     = 0.3               // harder refusing for each job that a queue makes start too late ...
+	shedDown   = 0.1               // ... and less for each other start: a quarter may be late
+	shedFade   = 5 * Second        // refusing fades by itself over this: who refuses all sees no start
+	shedSkew   = 3.0               // how much rather landings that earn less are refused
 	coldChance = 1.0               // of the root of a count by chance: one window in hundreds holds more
-	usualOver  = 5.0               // seconds of landings that an equal part of all traffic weighs against ours
+	usualOver  = 5.0               // seconds of an equal part of all traffic that weigh against our landings
 	shareLeast = 3.0               // requests that a tenant may send at once at the least
 	shareDepth = 1.0               // seconds of its quota that a tenant may send at once
-	scanMost   = 8                 // held jobs looked at for one that fits: bounds the work of an event
+	askLife    = 25 * Millisecond  // a pick's load is waited for this long, and counts as long
+	homeAfter  = 1 * Second        // a home that has just started has not heard of all use
 	askAgain   = 200 * Millisecond // first wait before a lost list is asked for again: doubles
 	askTimes   = 3                 // asks within AskWithin at the least while there is no answer
 )
@@ -60,7 +60,7 @@
 	return j.open && d.now < j.end && len(j.attempts) < d.s.MaxAttempts && // rule one
 		j.out() < 2 && d.mayRepeat(j, w) && // rule two
 		w.isReady() && // rule three: not even within the grace
-		(d.warmth(w) >= 1 || j.drawnCold && j.heldAt >= w.newsAt && j.picked(w)) // rule four
+		(d.warmth(w) >= 1 || j.first && j.heldAt >= w.newsAt && j.picked(w)) // rule four: see coldBears
 }
 
 func (d *Dispatcher) send(j *job, w *worker) bool {
@@ -68,18 +68,19 @@
 		return false
 	}
 	d.unhold(j)
-	j.attempts = append(j.attempts, attempt{w: w, sentAt: d.now, noteAt: d.now, out: true})
+	a := attempt{w: w, sentAt: d.now, noteAt: d.now, out: true}
+	if d.knows(w) {
+		w.load += j.need
+		a.load = w.load
+	}
+	j.attempts = append(j.attempts, a)
 	w.use += j.need
 	d.inUse += j.need
 	if w.distrust || w.silent {
 		d.spaceTrials(w)
 	}
 	d.emit(Action{Kind: Send, Request: j.id, Worker: w.ID})
-	if d.knows(w) {
-		w.load += j.need
-		j.attempts[len(j.attempts)-1].load = w.load
-	}
-	d.tellUse(w)
+	d.tellHome(w, Use)
 	d.schedule(j)
 	return true
 }
@@ -98,7 +99,7 @@
 	}
 	d.emit(a)
 	if j.class.LateWorth <= 0 && !j.running() {
-		d.pullBut(j, nil) // guards against queues of work that is worth nothing any more
+		d.pull(j, nil) // guards against queues of work that is worth nothing any more
 	}
 	d.close(j)
 }
@@ -107,15 +108,9 @@
 func (d *Dispatcher) mayRepeat(j *job, w *worker) bool {
 	for i := range j.attempts {
 		a := &j.attempts[i]
-		switch {
-		case a.neverRan:
-		case a.out && (!d.s.SecondCopies || a.w == w):
-			return false
-		case j.class.Effect == Keyed:
-			if !sameGroup(j.class.Group, a.w, w) || d.now+d.s.Tick >= a.sentAt+j.class.Window {
-				return false
-			}
-		case j.class.Effect != Safe:
+		harmless := j.class.Effect == Safe || j.class.Effect == Keyed &&
+			sameGroup(j.class.Group, a.w, w) && d.now+d.s.Tick < a.sentAt+j.class.Window
+		if !a.neverRan && (!harmless || a.out && (!d.s.SecondCopies || a.w == w)) {
 			return false
 		}
 	}
@@ -131,9 +126,9 @@
 	return d.s.ColdFrom + (1-d.s.ColdFrom)*float64(age)/float64(d.s.WarmWithin)
 }
 
-// coldBears is the chance by which a draw of a cold worker counts. All dispatchers together draw a worker
-// pickCount times for each job that it could run at full load; so many may count that chance hardly ever brings
-// more into one window than it bears. It takes no agreement, and each uses what its own traffic is.
+// coldBears is the chance by which a draw of a cold worker counts. All dispatchers together draw it pickCount times
+// for each job that it could run at full load; so many count that chance hardly ever brings more into one window
+// than it bears. That takes no agreement, and each dispatcher uses a part as large as its traffic.
 func (d *Dispatcher) coldBears(w *worker) float64 {
 	full := w.kind.size * float64(d.s.FallWindow) / (d.meanWork * d.paceOf(w))
 	root := max(0, math.Sqrt(d.s.FallMultiple*d.warmth(w)*full+1)-coldChance)
@@ -154,15 +149,13 @@
 }
 
 // until is the last moment at which a send can earn what the job's band stands for: its full worth on a usual
-// worker, on the quickest if it is a heavy job; late, an end before the client gives up.
+// worker, and a quarter of that time for a job heavier than those can run; late, an end before the client gives up.
 func (d *Dispatcher) until(j *job) Time {
+	run := d.expect(j) * d.all.pace
 	if j.band == behind && j.class.LateWorth > 0 {
-		return j.end - Time(d.expect(j)*d.best()*lateRoom)
-	}
-	if at := j.aimAt - Time(d.expect(j)*d.all.pace); at > j.landed {
-		return at
+		return j.end - Time(run*lateRoom)
 	}
-	return j.aimAt - Time(d.expect(j)*d.best())
+	return max(j.aimAt-Time(run), j.landed+(j.aimAt-j.landed)/4)
 }
 
 // demote moves a job that lost its full worth behind the others. It reports false if nothing is left of it.
@@ -174,31 +167,20 @@
 	return d.now < d.until(j)
 }
 
-// best is the pace of the quickest kind of worker.
-func (d *Dispatcher) best() float64 {
-	best := d.all.pace
-	for i := range d.kinds {
-		if d.kinds[i].runs > 0 {
-			best = min(best, d.kinds[i].pace)
-		}
-	}
-	return best
-}
-
-// worthRate is what a class earns for the time it takes.
-func (d *Dispatcher) worthRate(c *classState) float64 {
-	if d.s.WorthByWork {
-		return max(c.Worth, 1e-9)
-	}
-	return max(c.Worth/c.run, 1e-9)
-}
-
-func (d *Dispatcher) bestWorth() float64 {
-	best := 0.0
+// value is what a class earns for the time it takes, against the class that earns most.
+func (d *Dispatcher) value(c *classState) float64 {
+	best, own := 0.0, 0.0
 	for i := range d.classes {
-		best = max(best, d.worthRate(&d.classes[i]))
+		o := &d.classes[i]
+		worth := o.Worth
+		if !d.s.WorthByWork {
+			worth /= o.run
+		}
+		if best = max(best, worth); o == c {
+			own = worth
+		}
 	}
-	return best
+	return max(own, 1e-9) / max(best, 1e-9)
 }
 
 // backlog is how long the work ahead of a job takes with the slots we have in flight (Little's law), and not much
@@ -212,11 +194,7 @@
 		ahead -= j.need
 	}
 	wait := Time(max(0, ahead) * d.meanWork * d.all.pace / max(d.inUse, 1))
-	q := &d.held[j.band]
-	if q.trim(); len(q.items) == 0 {
-		return min(wait, joinTick)
-	}
-	return min(wait, joinTick+2*(d.now-q.items[q.head].j.heldAt))
+	return min(wait, joinTick+2*d.held[j.band].age(d.now))
 }
 
 // overShare says whether a job goes beyond its tenant's share: it is worth little and must not starve others.
@@ -226,34 +204,26 @@
 	if t == nil || d.s.OverShareWorth >= 1 || d.quotas <= 0 {
 		return false
 	}
-	if !retry {
-		d.landings++
-	}
-	usual := (d.quotas/float64(d.s.GroupSize)*usualOver + d.landings) / (usualOver + float64(d.now-d.bornAt)/float64(Second))
+	ours := d.quotas / float64(d.s.GroupSize) * usualOver
+	usual := (ours + d.landings) / (usualOver + float64(d.now-d.bornAt)/float64(Second))
 	rate := t.Quota * min(1, usual/d.quotas)
 	t.left = min(max(shareLeast, rate*shareDepth), t.left+rate*float64(d.now-t.at)/float64(Second))
 	t.at = d.now
 	over := t.left < 1
-	if !over && !retry {
-		t.left--
+	if !retry {
+		d.landings++
+		if !over {
+			t.left--
+		}
 	}
 	return over
 }
 
-// fade lets the refusing pass with time.
-func (d *Dispatcher) fade() {
-	d.shed *= math.Exp(-float64(d.now-d.shedAt) / float64(shedFade))
-	d.shedAt = d.now
-}
-
-// press follows how many of our jobs start too late: with many dispatchers the queues stand at the workers.
-func (d *Dispatcher) press(late bool) {
-	d.fade()
-	if late {
-		d.shed = min(1, d.shed+shedUp)
-	} else {
-		d.shed = max(0, d.shed-shedDown)
-	}
+// press follows how many of our jobs a queue at a worker makes start too late: many dispatchers hold nothing back,
+// and their queues stand at the workers, where all would end late.
+func (d *Dispatcher) press(change float64) {
+	d.shed = max(0, d.shed*math.Exp(-float64(d.now-d.shedAt)/float64(shedFade))+change)
+	d.shed, d.shedAt = min(1, d.shed), d.now
 }
 
 // ---- Landing, and the held lists.
@@ -261,21 +231,18 @@
 func (d *Dispatcher) land(j *job, retry bool) {
 	d.extra = min(extraMost, d.extra+extraShare)
 	d.meanWork += (d.expect(j) - d.meanWork) * meanWeight
-	value := d.worthRate(j.class) / d.bestWorth()
+	value, part := d.value(j.class), 1.0
 	if d.overShare(j, retry) {
-		j.band = behind
-		value *= d.s.OverShareWorth
-	}
-	if d.fade(); d.rng.Float64() < math.Pow(d.shed, shedSkew*value) {
-		d.finish(j) // guards against queues at the workers in which all end late
-		return
+		j.band, part = behind, d.s.OverShareWorth
 	}
 	wait := d.backlog(j)
 	if j.class.LateWorth > 0 { // what earns less for its time yields first, and still has its late worth
-		wait = Time(float64(wait) * d.bestWorth() / d.worthRate(j.class))
+		wait = Time(float64(wait) / value)
 	}
-	if d.now+wait > d.until(j) && !d.demote(j) {
-		d.finish(j) // guards against queues in which all end late, and waits that come to nothing
+	d.press(0)
+	// Guards against queues in which all end late, at the workers or here, and waits that come to nothing.
+	if d.rng.Float64() < math.Pow(d.shed, shedSkew*value*part) || d.now+wait > d.until(j) && !d.demote(j) {
+		d.finish(j)
 		return
 	}
 	d.hold(j)
@@ -283,46 +250,42 @@
 
 // hold joins the lists of random ready workers and sends at once where one of them has room.
 func (d *Dispatcher) hold(j *job) {
-	d.serial++
-	j.ticket, j.heldAt, j.step, j.picks = d.serial, d.now, 0, j.picks[:0]
-	j.drawnCold = !j.drawn // only the first draws of a job may be of cold workers: see coldBears
-	j.drawn = true
+	d.enlist(j)
 	d.joinNext(j)
-	d.waiting[j.band] += j.need
-	d.held[j.band].push(j)
 	d.draw(j, pickCount)
 	if !d.place(j) {
 		d.schedule(j)
 	}
 }
 
-// draw joins the lists of n further workers.
+// draw joins the lists of n further workers, and asks for their load where that can be told.
 func (d *Dispatcher) draw(j *job, n int) {
 	for i := range n {
 		w := d.pick(j, i%2 == 0 || d.rng.Float64() >= d.farShare(j))
 		if w == nil || j.picked(w) {
 			continue
 		}
-		if len(j.picks) == picksMost {
-			j.picks = append(j.picks[:0], j.picks[1:]...)
+		j.addPick(w)
+		if w.use == 0 && d.now >= w.askedAt+askLife { // where we have jobs their starts tell
+			w.askedAt = d.now
+			d.tellHome(w, Ask)
 		}
-		j.picks = append(j.picks, w)
-		w.lists[j.band].push(j)
-		d.askLoad(w)
 	}
 }
 
-// farShare is the chance that a pick is drawn from all zones: it grows as starts wait in the own one, the more so the
-// cheaper a crossing is, and as the job waits.
+// farAfter is how long a job must have waited before all zones join its picks.
+func (d *Dispatcher) farAfter() Time { return joinTick + Time(d.s.PriceCross*float64(crossWait)) }
+
+// farShare is the chance that a pick is drawn from all zones: it grows as starts wait in the own one, the more so
+// the cheaper a crossing is.
 func (d *Dispatcher) farShare(j *job) float64 {
-	if d.now >= j.heldAt+d.joinAfter(true) || d.s.Zone < 0 {
+	if d.now >= j.heldAt+d.farAfter() || d.s.Zone < 0 {
 		return 1
 	}
 	return d.zones[d.s.Zone].wait / (crossCost * d.s.PriceCross)
 }
 
-// pick draws a random ready worker, one in the own zone if crossings have a price. It draws again where a worker is
-// not to be used now.
+// pick draws a random ready worker, in the own zone or in all. It draws again where one is not to be used now.
 func (d *Dispatcher) pick(j *job, near bool) *worker {
 	from := d.ready
 	if near && d.s.PriceCross > 0 && len(d.near) > 0 {
@@ -330,30 +293,31 @@
 	}
 	for range min(drawsMost, len(from)) {
 		w := from[d.rng.IntN(len(from))]
-		if w.lost && d.s.CanProbe {
-			if d.now >= w.trialAt { // a worker out of reach is tried by a probe: a job would lose time
+		z := d.zone(w)
+		switch {
+		case w.lost && d.s.CanProbe: // tried by a probe: a job would lose time
+			if d.now >= w.trialAt {
 				d.spaceTrials(w)
 				d.emit(Action{Kind: Probe, Worker: w.ID})
 			}
-			continue
-		}
-		if (w.distrust || w.silent) && d.now < w.trialAt {
-			continue
-		}
-		if d.warmth(w) < 1 && (j.step > 0 || !j.drawnCold || d.rng.Float64() >= d.coldBears(w)) {
+		case (w.distrust || w.silent) && d.now < w.trialAt:
+		case z.lost > 0.5 && d.now < z.trialAt: // guards against a cut link: no worker behind it can be reached
+		case d.warmth(w) < 1 && !(j.first && j.step == 0 && d.rng.Float64() < d.coldBears(w)):
 			return nil // not drawn again: that would raise the others' chance
+		default:
+			z.trialAt = d.now + trialGap
+			return w
 		}
-		return w
 	}
 	return nil
 }
 
-// place sends a held job to the pick that has room and uses least of it.
+// place sends a held job to the pick that has room and uses least of it, once the picks' loads are told.
 func (d *Dispatcher) place(j *job) bool {
 	var best *worker
 	for _, w := range j.picks {
-		if w.askedAt > w.loadAt && d.now < w.askedAt+askLife {
-			return false // its load is on its way
+		if d.s.CanTell && w.askedAt > w.loadAt && d.now < w.askedAt+askLife {
+			return false
 		}
 		best = d.better(j, best, w)
 	}
@@ -375,127 +339,19 @@
 	return a
 }
 
-// ---- Notes. Where dispatchers may tell each other, each worker has a home among them, which adds up what all use of
-// it. A lost note costs nothing but that a pick is made without.
-
-func (d *Dispatcher) home(w *worker) int { return int(w.Tag % uint64(d.s.GroupSize)) }
-
-// askLoad asks a worker's home for its load.
-func (d *Dispatcher) askLoad(w *worker) {
-	if d.s.CanTell && w.use == 0 && d.now >= w.askedAt+askLife {
-		w.askedAt = d.now
-		if h := d.home(w); h == d.s.Ordinal {
-			d.loadIs(w, d.total(w.Tag))
-		} else {
-			d.emit(Action{Kind: Tell, Peer: h, Note: Note{Kind: Ask, Tag: w.Tag}})
-		}
-	}
-}
-
-// tellUse tells a worker's home what we use of it.
-func (d *Dispatcher) tellUse(w *worker) {
-	if d.s.CanTell {
-		n := Note{Kind: Use, Tag: w.Tag, Slots: w.use}
-		if h := d.home(w); h == d.s.Ordinal {
-			d.noteUse(h, n)
-		} else {
-			d.emit(Action{Kind: Tell, Peer: h, Note: n})
-		}
-	}
-}
-
-func (d *Dispatcher) noteUse(peer int, n Note) {
-	uses := d.uses[n.Tag]
-	i := 0
-	for i < len(uses) && uses[i].peer != peer {
-		i++
-	}
-	if i == len(uses) {
-		uses = append(uses, peerUse{peer: peer})
-	}
-	uses[i].slots, uses[i].at = n.Slots, d.now
-	if n.Slots <= 0 {
-		uses[i] = uses[len(uses)-1]
-		uses = uses[:len(uses)-1]
-	}
-	d.uses[n.Tag] = uses
-}
-
-// total is what all have told to use of a worker; -1 while too little can be known.
-func (d *Dispatcher) total(tag uint64) float64 {
-	if d.now < d.bornAt+homeAfter {
-		return -1
-	}
-	sum := 0.0
-	for _, u := range d.uses[tag] {
-		if d.now < u.at+noteLife {
-			sum += u.slots
-		}
-	}
-	return sum
-}
-
-func (d *Dispatcher) loadIs(w *worker, load float64) {
-	w.loadAt, w.load = d.now, load
-}
-
-// heard takes a peer's note.
-func (d *Dispatcher) heard(peer int, n Note) {
-	switch n.Kind {
-	case Ask:
-		if load := d.total(n.Tag); load >= 0 {
-			d.emit(Action{Kind: Tell, Peer: peer, Note: Note{Kind: Load, Tag: n.Tag, Slots: load}})
-		}
-	case Use:
-		d.noteUse(peer, n)
-	case Load:
-		w := d.tags[n.Tag]
-		if w == nil {
-			return
-		}
-		d.loadIs(w, n.Slots)
-		for b := range w.lists {
-			for _, e := range w.lists[b].items[w.lists[b].head:] {
-				if e.live() {
-					d.place(e.j)
-				}
-			}
-		}
-	}
-}
-
-// knows says whether w's load is known by a fresh note.
-func (d *Dispatcher) knows(w *worker) bool {
-	return w.use == 0 && w.loadAt > 0 && w.load >= 0 && d.now < w.loadAt+askLife
-}
-
-// usage is the share of its room that w would use with the job, and what else counts against w: that starts wait at
-// its kind and in its zone, as little is seen of one worker, and the price of a crossing.
+// usage is the share of its room that w would use with the job. What else counts against w: that starts wait at its
+// kind and in its zone, as little is seen of one worker, and the price of a crossing.
 func (d *Dispatcher) usage(j *job, w *worker) float64 {
+	use := (w.use+j.need)/d.roomOf(w) + w.kind.wait + d.zone(w).wait
 	if d.knows(w) {
-		use := (w.load + j.need) / w.kind.size
-		if w.Zone != d.s.Zone {
-			use += crossCost * d.s.PriceCross
-		}
-		return use
+		use = (w.load + j.need) / w.kind.size
 	}
-	use := (w.use+j.need)/d.roomOf(w) + w.kind.wait + d.zone(w).wait
 	if w.Zone != d.s.Zone {
 		use += crossCost * d.s.PriceCross
 	}
 	return use
 }
 
-// roomOf is a worker's room: a cut is forgotten as the load of others changes.
-func (d *Dispatcher) roomOf(w *worker) float64 {
-	usual := d.usualRoom(w)
-	if w.room >= usual || w.use > 0 {
-		return w.room
-	}
-	lapse := float64(d.now-w.cutAt) / (roomFade * d.meanWork * d.all.pace)
-	return w.room + (usual-w.room)*min(1, lapse)
-}
-
 // usualRoom is the mean room, more or less as the list tells the worker's size.
 func (d *Dispatcher) usualRoom(w *worker) float64 {
 	if d.weight <= 0 || w.Weight <= 0 {
@@ -504,6 +360,15 @@
 	return d.room * w.Weight / d.weight
 }
 
+// roomOf is a worker's room. Where nothing of ours is, a cut is forgotten as the load of others changes.
+func (d *Dispatcher) roomOf(w *worker) float64 {
+	usual := d.usualRoom(w)
+	if w.room >= usual || w.use > 0 {
+		return w.room
+	}
+	return w.room + (usual-w.room)*min(1, float64(d.now-w.cutAt)/(roomFade*d.meanWork*d.all.pace))
+}
+
 // paceOf is how long a worker takes for a unit of work; what it has not shown itself is taken from its kind.
 func (d *Dispatcher) paceOf(w *worker) float64 {
 	if w.runs > 0 {
@@ -512,7 +377,7 @@
 	return w.kind.pace
 }
 
-// hasRoom says whether a job may go to w by the rules, by w's health and by its learned room.
+// hasRoom says whether a job may go to w by the rules, by w's health and by its room.
 func (d *Dispatcher) hasRoom(j *job, w *worker) bool {
 	if !d.maySend(j, w) || j.class.Kind >= 0 && w.Kind != j.class.Kind {
 		return false
@@ -532,64 +397,89 @@
 		return false
 	}
 	if d.knows(w) {
-		queue := 0.0
-		if d.now >= j.heldAt+d.joinAfter(true) {
-			queue = 1
-		}
-		return w.load+j.need <= w.kind.size+queue
+		return w.load+j.need <= w.kind.size || w.load <= w.kind.size && d.now >= j.heldAt+d.farAfter()
 	}
 	return w.use+j.need <= d.roomOf(w) || w.use == 0 && d.now >= w.openAt
 }
 
-// joinAfter is how long a job must have waited before workers of its own or of other zones join its picks.
-func (d *Dispatcher) joinAfter(far bool) Time {
-	if !far {
-		return joinTick
-	}
-	return joinTick + Time(d.s.PriceCross*float64(crossWait))
-}
-
 // serve sends held jobs to a worker while it has room: its own list's, then those whose picks it may join.
 func (d *Dispatcher) serve(w *worker) {
-	if !w.isReady() {
-		return
+	age := joinTick
+	if w.Zone != d.s.Zone {
+		age = d.farAfter()
 	}
 	for b := range bands {
-		for d.take(w, &w.lists[b], 0) || d.take(w, &d.held[b], d.joinAfter(w.Zone != d.s.Zone)) {
+		for d.take(w, &w.lists[b], 0) || d.take(w, &d.held[b], age) {
 		}
 	}
 }
 
 // take sends the oldest job of a list that fits.
 func (d *Dispatcher) take(w *worker, q *queue, age Time) bool {
-	q.trim()
-	seen := 0
-	for _, e := range q.items[q.head:] {
-		if !e.live() {
-			continue
-		}
-		if seen++; seen > scanMost || d.now < e.j.heldAt+age {
+	for _, j := range q.oldest(scanMost) {
+		if d.now < j.heldAt+age {
 			return false
 		}
-		if d.hasRoom(e.j, w) && d.send(e.j, w) {
+		if d.hasRoom(j, w) && d.send(j, w) {
 			return true
 		}
 	}
 	return false
 }
 
+// ---- Notes. Where dispatchers may tell each other, each worker has a home among them that adds up what all use of
+// it. A lost note costs nothing but that a job is placed without.
+
+// tellHome asks a worker's home for its load or tells it what we use there.
+func (d *Dispatcher) tellHome(w *worker, kind NoteKind) {
+	if d.s.CanTell {
+		d.tell(int(w.Tag%uint64(d.s.GroupSize)), Note{Kind: kind, Tag: w.Tag, Slots: w.use})
+	}
+}
+
+func (d *Dispatcher) tell(peer int, n Note) {
+	if peer == d.s.Ordinal {
+		d.heard(peer, n)
+		return
+	}
+	d.emit(Action{Kind: Tell, Peer: peer, Note: n})
+}
+
+// heard takes a note: as a home, or with a load that was asked for.
+func (d *Dispatcher) heard(peer int, n Note) {
+	w := d.tags[n.Tag]
+	switch {
+	case n.Kind == Use:
+		d.noteUse(peer, n)
+	case n.Kind == Ask && d.now >= d.bornAt+homeAfter:
+		d.tell(peer, Note{Kind: Load, Tag: n.Tag, Slots: d.uses[n.Tag].sum})
+	case n.Kind == Load && w != nil:
+		w.load, w.loadAt = n.Slots, d.now
+		for b := 0; b < bands && peer != d.s.Ordinal; b++ {
+			for _, j := range w.lists[b].oldest(scanMost) {
+				d.place(j)
+			}
+		}
+	}
+}
+
+// knows says whether w's load has been told just now.
+func (d *Dispatcher) knows(w *worker) bool {
+	return w.use == 0 && w.loadAt > 0 && d.now < w.loadAt+askLife
+}
+
 // ---- Time.
 
 // schedule sets a job's timer to what is due first.
 func (d *Dispatcher) schedule(j *job) {
 	at := j.end
 	if j.ticket != 0 {
+		at = min(at, j.joinAt)
 		if j.out() == 0 {
 			at = min(at, max(d.until(j), d.now+Millisecond))
 		}
-		at = min(at, j.joinAt)
 	}
-	if d.hopeless(j, j.aimAt) {
+	if d.hopeless(j) {
 		at = min(at, j.aimAt)
 	}
 	for i := range j.attempts {
@@ -600,23 +490,20 @@
 
 // review does what time has made due for a job.
 func (d *Dispatcher) review(j *job) {
-	if d.now >= j.end {
-		d.finish(j)
-		return
-	}
 	for i := range j.attempts {
 		d.overdue(j, &j.attempts[i])
 	}
-	if j.ticket != 0 && d.now >= d.until(j) && j.out() == 0 {
+	switch {
+	case d.now >= j.end || d.hopeless(j) && d.now >= j.aimAt:
+		d.finish(j)
+	case j.ticket != 0 && d.now >= d.until(j) && j.out() == 0:
 		d.unhold(j)
-		if !d.demote(j) {
-			d.finish(j)
-		} else {
+		if d.demote(j) {
 			d.hold(j)
+		} else {
+			d.finish(j)
 		}
-	} else if d.hopeless(j, d.now) {
-		d.finish(j)
-	} else if j.ticket != 0 && d.now >= j.joinAt {
+	case j.ticket != 0 && d.now >= j.joinAt:
 		j.step++
 		d.joinNext(j)
 		if !d.place(j) {
@@ -629,7 +516,7 @@
 	}
 }
 
-// joinNext sets when further workers join a held job's picks.
+// joinNext sets when further workers join a held job's picks: after loads asked for have had their time.
 func (d *Dispatcher) joinNext(j *job) {
 	j.joinAt = d.now + joinTick*Time(min(j.step+1, joinSlower))
 	if d.s.CanTell {
@@ -637,24 +524,22 @@
 	}
 }
 
-// hopeless says whether a job whose attempts all wait at workers is worth nothing from a time on.
-func (d *Dispatcher) hopeless(j *job, at Time) bool {
-	return at >= j.aimAt && j.class.LateWorth <= 0 && d.pulls() && j.out() > 0 && !j.running()
+// hopeless says whether a job waits at workers only, in queues where it is worth nothing once its aim has passed.
+func (d *Dispatcher) hopeless(j *job) bool {
+	return j.class.LateWorth <= 0 && d.pulls() && j.out() > 0 && !j.running()
 }
 
-// pulls says whether attempts that wait are taken back: where wasted work is cheap, as a cancel may stop nothing.
+// pulls says whether attempts that wait are taken back. A cancel may stop nothing, so only where waste is cheap.
 func (d *Dispatcher) pulls() bool {
-	return d.s.CanCancel && d.s.TellsStart && d.s.PriceWaste <= cheapWaste && d.s.SecondCopies
+	return d.s.CanCancel && d.s.TellsStart && d.s.SecondCopies && d.s.PriceWaste <= cheapWaste
 }
 
 // races says whether a job that waits at a worker may be entered at a second one: the first start deletes the other,
-// as in the paper.
-func (d *Dispatcher) races(j *job) bool {
-	return d.pulls() && j.class.Effect == Safe
-}
+// as in the paper. So a dispatcher finds a free worker without knowing the others' load.
+func (d *Dispatcher) races(j *job) bool { return d.pulls() && j.class.Effect == Safe }
 
-// pullBut takes back the attempts of a job that wait, all but one.
-func (d *Dispatcher) pullBut(j *job, but *attempt) {
+// pull takes back a job's attempts that are out, all but one.
+func (d *Dispatcher) pull(j *job, but *attempt) {
 	for i := range j.attempts {
 		if a := &j.attempts[i]; d.pulls() && a.out && !a.pulled && a != but {
 			a.pulled = true
@@ -663,6 +548,14 @@
 	}
 }
 
+// startBy is how long after its send a job has started if nothing waits at the worker.
+func (d *Dispatcher) startBy(j *job, w *worker) Time {
+	if d.races(j) {
+		return 2*d.zone(w).base + copySlack
+	}
+	return 2*d.zone(w).base + queueSlack
+}
+
 // signDue is when an attempt's start, or its next progress, should have been told of at the latest.
 func (d *Dispatcher) signDue(j *job, a *attempt) Time {
 	if a.out && a.startedAt == 0 && !a.queued && d.s.TellsStart {
@@ -674,7 +567,7 @@
 	return never
 }
 
-// overdue judges a worker by an attempt whose sign is due.
+// overdue judges a worker by an attempt whose sign is due, and enters a waiting job elsewhere where it may race.
 func (d *Dispatcher) overdue(j *job, a *attempt) {
 	if d.now < d.signDue(j, a) {
 		return
@@ -691,9 +584,9 @@
 	}
 	if j.out() == 1 {
 		d.hold(j)
-		return
+	} else {
+		d.pull(j, a) // its end brings the next
 	}
-	d.pullBut(j, a)
 }
 
 // again holds a job for a further attempt where rules, budget and time allow one; it reports whether it does.
@@ -701,7 +594,7 @@
 	if d.now >= d.until(j) && !d.demote(j) || len(j.attempts) >= d.s.MaxAttempts {
 		return false
 	}
-	if j.mayHaveRun() && !d.races(j) && !a.pulled {
+	if j.mayHaveRun() && !a.pulled {
 		if j.class.Effect == Unsafe || d.extra < 1 {
 			return false // the budget guards against a storm of attempts when all are slow or failing
 		}
@@ -724,20 +617,8 @@
 	}
 }
 
-// startBy is how long after its send a job has started if nothing waits at the worker.
-func (d *Dispatcher) startBy(j *job, w *worker) Time {
-	base, slack := d.zone(w).base, queueSlack
-	if d.races(j) {
-		slack = copySlack
-	}
-	if base == 0 {
-		return 5 * slack
-	}
-	return 2*base + slack
-}
-
 func (d *Dispatcher) started(j *job, a *attempt) {
-	w, delay := a.w, max(1, d.now-a.sentAt)
+	w, z, delay := a.w, d.zone(a.w), max(1, d.now-a.sentAt)
 	if !a.queued && delay > d.startBy(j, w) {
 		a.queued = true
 		d.cut(w)
@@ -749,17 +630,19 @@
 	if !a.queued {
 		w.kind.size = max(w.kind.size, min(a.load, w.kind.size+1))
 	}
-	z := d.zone(w)
-	if z.base == 0 || delay < z.base {
-		z.base = delay
-	}
+	z.base = min(z.base, delay)
+	z.lost -= z.lost * zoneWeight
 	wait := float64(max(0, delay-z.base-queueSlack)) / (d.meanWork * d.all.pace)
 	w.kind.wait += (wait - w.kind.wait) * waitWeight
 	z.wait += (wait - z.wait) * waitWeight
-	d.press(a.queued && d.now+Time(d.expect(j)*d.paceOf(w)) > j.aimAt)
+	if a.queued && d.now+Time(d.expect(j)*d.paceOf(w)) > j.aimAt {
+		d.press(shedUp)
+	} else {
+		d.press(-shedDown)
+	}
 	if j.open && d.races(j) {
 		d.unhold(j)
-		d.pullBut(j, a)
+		d.pull(j, a)
 	}
 	d.schedule(j)
 }
@@ -776,12 +659,12 @@
 }
 
 func (d *Dispatcher) ended(j *job, a *attempt, e *Event) {
-	w := a.w
+	w, z := a.w, d.zone(a.w)
 	atRoom := w.use+j.need > w.room
 	a.out, a.neverRan = false, e.Result == Full || e.Result == NotSent || e.Result == Unreachable
 	w.use -= j.need
 	d.inUse -= j.need
-	d.tellUse(w)
+	d.tellHome(w, Use)
 	if a.startedAt > 0 {
 		w.running -= j.need
 	}
@@ -796,7 +679,8 @@
 		w.room, w.cutAt = max(roomFloor, min(w.room, w.use)), d.now
 	case Unreachable:
 		w.lost = true
-		d.suspect(w) // guards against a cut link or a dead worker: they fail all and always have room
+		z.lost += (1 - z.lost) * zoneWeight
+		d.suspect(w) // guards against a dead worker: it fails all and always has room
 	case Failed, Disconnected:
 		d.judge(w, 1)
 	}
@@ -821,20 +705,14 @@
 	pace := min(run/max(d.expect(j), 1), paceMost*d.all.pace)
 	w.pace = d.paceOf(w) + (pace-d.paceOf(w))*weight
 	w.runs++
-	w.kind.learn(pace)
-	d.all.learn(pace)
+	w.kind.pace += (pace - w.kind.pace) * meanWeight
+	d.all.pace += (pace - d.all.pace) * meanWeight
 	if atRoom && !a.queued {
 		w.room += min(w.room, j.need*roomStep)
 	}
 }
 
-func (k *kindState) learn(pace float64) {
-	k.runs++
-	k.pace += (pace - k.pace) * meanWeight
-}
-
-// learn takes one run time into the means of its class, and with the hint it had into how hints and run times go
-// together.
+// learn takes a run into the means of its class, and how the hint it had and its time go together.
 func (c *classState) learn(hint Time, run float64) {
 	c.runs++
 	c.run += (run - c.run) * max(usualRuns, 1/c.runs)
@@ -894,13 +772,8 @@
 	if d.s.ListOnRequest && e.Stale {
 		d.ask()
 	}
-	for _, w := range d.workers {
-		if w == nil || w.isReady() {
-			continue
-		}
-		for _, j := range w.orphans() { // a new pick each
-			d.draw(j, 1)
-		}
+	for _, j := range d.orphans() {
+		d.draw(j, 1)
 	}
 }
 
--- a/rules/state.go
+++ b/rules/state.go
@@ -10,6 +10,9 @@
 
 // What a dispatcher remembers, and how events reach the decisions. Nothing here decides: see rules.go.
 
+// firstBase is taken for the quickest start of a zone until one is known.
+const firstBase = 50 * Millisecond
+
 const never = Time(math.MaxInt64 / 4)
 
 // The bands of held work.
@@ -33,26 +36,26 @@
 }
 
 type job struct {
-	id        RequestID
-	class     *classState
-	tenant    *tenantState // nil: none
-	need      float64      // slots, or memory units if that is more
-	hint      Time         // the work told, 0: none
-	work      Time         // expected, on a standard core; 0: not told
-	landed    Time
-	end       Time // the last moment for an answer
-	aimAt     Time
-	open      bool // owes its final answer
-	band      int
-	ticket    uint64 // of its entries in held lists; 0: not held
-	heldAt    Time
-	timer     uint64 // of its live entry among the timers
-	attempts  []attempt
-	picks     []*worker // whose held lists it has joined
-	drawn     bool      // has drawn picks before
-	drawnCold bool      // its picks may be cold
-	step      int       // of joins since it was held
-	joinAt    Time      // of the next
+	id       RequestID
+	class    *classState
+	tenant   *tenantState // nil: none
+	need     float64      // slots, or memory units if that is more
+	hint     Time         // the work told, 0: none
+	work     Time         // expected, on a standard core; 0: not told
+	landed   Time
+	end      Time // the last moment for an answer
+	aimAt    Time
+	open     bool // owes its final answer
+	band     int
+	ticket   uint64 // of its entries in held lists; 0: not held
+	heldAt   Time
+	timer    uint64 // of its live entry among the timers
+	attempts []attempt
+	picks    []*worker // whose held lists it has joined
+	drawn    bool      // has drawn picks before
+	first    bool      // its picks are the first it drew
+	step     int       // of joins since it was held
+	joinAt   Time      // of the next
 }
 
 // out counts the attempts that have not ended.
@@ -78,6 +81,15 @@
 
 func (j *job) picked(w *worker) bool { return slices.Contains(j.picks, w) }
 
+// addPick joins a worker's held list.
+func (j *job) addPick(w *worker) {
+	if len(j.picks) == picksMost {
+		j.picks = append(j.picks[:0], j.picks[1:]...)
+	}
+	j.picks = append(j.picks, w)
+	w.lists[j.band].push(j)
+}
+
 func (j *job) triedAt(w *worker) bool {
 	for i := range j.attempts {
 		if j.attempts[i].w == w {
@@ -104,13 +116,35 @@
 	hintVar, hintCov float64 // and how they go together
 }
 
-// peerUse is what a peer has told to use of a worker.
+// homeUse is what dispatchers have told to use of a worker whose home we are.
+type homeUse struct {
+	sum   float64
+	peers []peerUse
+}
+
 type peerUse struct {
 	peer  int
 	slots float64
 	at    Time
 }
 
+// noteLife is how long a word on use counts that is not renewed: the word that it ended may have got lost.
+const noteLife = 10 * Second
+
+// noteUse takes over a dispatcher's word on its use of a worker.
+func (d *Dispatcher) noteUse(peer int, n Note) {
+	u := d.uses[n.Tag]
+	u.peers = slices.DeleteFunc(u.peers, func(p peerUse) bool { return p.peer == peer || d.now >= p.at+noteLife })
+	if n.Slots > 0 {
+		u.peers = append(u.peers, peerUse{peer, n.Slots, d.now})
+	}
+	u.sum = 0
+	for _, p := range u.peers {
+		u.sum += p.slots
+	}
+	d.uses[n.Tag] = u
+}
+
 type tenantState struct {
 	Tenant
 	left float64 // requests within the share
@@ -121,14 +155,15 @@
 type kindState struct {
 	size float64 // most slots that ran at once, or were told free
 	pace float64
-	runs float64
 	wait float64 // mean wait for a start, in usual runs
 }
 
 // zoneState is what the workers of one zone have shown.
 type zoneState struct {
-	base Time // quickest start; 0: none yet
-	wait float64
+	base    Time    // quickest start
+	wait    float64 // mean wait for a start, in usual runs
+	lost    float64 // share of connects that failed of late
+	trialAt Time
 }
 
 type worker struct {
@@ -199,7 +234,7 @@
 	room     float64 // mean of rooms at the ends of jobs
 	fails    float64 // share of failures at all workers
 	shedAt   Time
-	uses     map[uint64][]peerUse // of the workers whose home we are
+	uses     map[uint64]homeUse // of the workers whose home we are
 	tags     map[uint64]*worker
 	shed     float64 // how hard landings are refused, 0 to 1
 	meanWork float64 // of landed jobs
@@ -221,8 +256,11 @@
 	for i := range d.kinds {
 		d.kinds[i] = d.all
 	}
-	d.uses, d.tags = map[uint64][]peerUse{}, map[uint64]*worker{}
+	d.uses, d.tags = map[uint64]homeUse{}, map[uint64]*worker{}
 	d.zones = make([]zoneState, s.Zones+1)
+	for i := range d.zones {
+		d.zones[i].base = firstBase
+	}
 	for _, c := range s.Classes {
 		d.meanWork = max(d.meanWork, float64(c.Aim))
 		aim := math.Log(float64(max(c.Aim, 1)))
@@ -402,20 +440,29 @@
 	}
 }
 
-// orphans strikes the entries of a worker that drains, is gone or has restarted, and returns their held jobs.
-func (w *worker) orphans() (jobs []*job) {
-	for b := range w.lists {
-		q := &w.lists[b]
-		for _, e := range q.items[q.head:] {
-			if e.live() {
-				jobs = append(jobs, e.j)
-			}
+// orphans strikes the entries of workers that drain or are gone, and returns their held jobs.
+func (d *Dispatcher) orphans() (jobs []*job) {
+	for _, w := range d.workers {
+		if w == nil || w.isReady() {
+			continue
+		}
+		for b := range w.lists {
+			jobs = append(jobs, w.lists[b].oldest(math.MaxInt)...)
+			w.lists[b] = queue{}
 		}
-		*q = queue{}
 	}
 	return jobs
 }
 
+// enlist gives a job its place among the held ones.
+func (d *Dispatcher) enlist(j *job) {
+	d.serial++
+	j.ticket, j.heldAt, j.step, j.picks = d.serial, d.now, 0, j.picks[:0]
+	j.first, j.drawn = !j.drawn, true
+	d.waiting[j.band] += j.need
+	d.held[j.band].push(j)
+}
+
 // setTimer replaces a job's timer.
 func (d *Dispatcher) setTimer(j *job, at Time) {
 	d.serial++
@@ -520,6 +567,28 @@
 	q.items = append(q.items, entry{j, j.ticket})
 }
 
+// oldest returns the oldest n live jobs.
+func (q *queue) oldest(n int) (jobs []*job) {
+	q.trim()
+	for _, e := range q.items[q.head:] {
+		if len(jobs) == n {
+			break
+		}
+		if e.live() {
+			jobs = append(jobs, e.j)
+		}
+	}
+	return jobs
+}
+
+// age is how long the oldest has been held.
+func (q *queue) age(now Time) Time {
+	if q.trim(); q.head < len(q.items) {
+		return now - q.items[q.head].j.heldAt
+	}
+	return 0
+}
+
 // trim drops dead entries at the head and the space before it.
 func (q *queue) trim() {
 	for q.head < len(q.items) && !q.items[q.head].live() {
