--- a/rules/rules.go
+++ b/rules/rules.go
@@ -13,18 +13,16 @@
 	drawsMost  = 4                 // draws for a pick that is fit for use
 	scanMost   = 8                 // held jobs looked at for one that fits: bounds the work of an event
 	joinTick   = 10 * Millisecond  // no room for this long: further workers join the picks
-	joinSlower = 5                 // ticks between further joins at the most
 	crossWait  = 2 * Second / 10   // longer wait, times the price of a crossing, before other zones join
 	crossCost  = 5.0               // rooms that a crossing weighs, times its price
 	roomStart  = 2.0               // slots; every dispatcher takes this of a worker whose size nobody knows
 	roomStep   = 0.5               // slots of room for each slot of success at the room
-	roomFloor  = 1.0 / 8           // slots; a job now and then keeps a worker's notes coming
+	roomFloor  = 1.0 / 8           // slots at the least
 	roomFade   = 2.0               // usual runs until a cut is forgotten: others' load has changed by then
-	pauseCut   = 0.75              // factor on a room of one job that queued behind others
+	lastCut    = 0.75              // factor on a room of one job that queued behind others
 	queueSlack = 40 * Millisecond  // a start this far past two of the quickest: a queue at the worker
 	copySlack  = 10 * Millisecond  // the same where a copy elsewhere costs next to nothing
 	waitWeight = 0.1               // weight of the newest start in the mean waits of a kind and a zone
-	reportLife = 200 * Millisecond // a report of free slots counts this long: slots turn over within a run
 	stallSlack = 400 * Millisecond // a progress note later than this is no pause: the worker stands still
 	failWeight = 0.2               // weight of the newest outcome in a worker's share of failures, at the least
 	failMargin = 0.25              // share of failures above twice the peers': distrust
@@ -47,8 +45,8 @@
 	usualOver  = 5.0               // seconds of an equal part of all traffic that weigh against our landings
 	shareLeast = 3.0               // requests that a tenant may send at once at the least
 	shareDepth = 1.0               // seconds of its quota that a tenant may send at once
-	probeFrom  = 0.1               // mean waits, in usual runs, from which a probe is worth its price
-	probeLife  = 1 * Second
+	probeFrom  = 0.2               // mean waits, in usual runs, from which a probe is worth its price
+	probeLife  = 2 * Second        // a queue told by a probe counts this long: it lasts while many wait
 	askLife    = 25 * Millisecond  // a pick's load is waited for this long, and counts as long
 	homeAfter  = 1 * Second        // a home that has just started has not heard of all use
 	askAgain   = 200 * Millisecond // first wait before a lost list is asked for again: doubles
@@ -256,7 +254,8 @@
 	}
 }
 
-// draw joins the lists of n further workers, and asks for their load where that can be told.
+// draw joins the lists of n further workers, and asks for the load of those where no job of ours tells it: their
+// homes, or at first and where starts wait so much that queues last, themselves by probes.
 func (d *Dispatcher) draw(j *job, n int) {
 	for i := range n {
 		w := d.pick(j, i%2 == 0 || d.rng.Float64() >= d.farShare(j))
@@ -264,20 +263,16 @@
 			continue
 		}
 		j.addPick(w)
-		if w.use == 0 && d.now >= w.askedAt+askLife { // where we have jobs their starts tell
-			d.askLoad(w)
+		probe := d.s.CanProbe && d.s.ProbesTell && j.step == 0 && w.kind.wait+d.zone(w).wait > probeFrom
+		if w.use > 0 || d.now < w.askedAt+askLife || !d.s.CanTell && !probe {
+			continue
 		}
-	}
-}
-
-// askLoad asks for a worker's load: its home, or itself by a probe where starts wait so much that queues last.
-func (d *Dispatcher) askLoad(w *worker) {
-	if d.s.CanTell {
-		w.askedAt = d.now
-		d.tellHome(w, Ask)
-	} else if d.s.ProbesTell && d.s.CanProbe && w.kind.wait+d.zone(w).wait > probeFrom {
 		w.askedAt = d.now
-		d.emit(Action{Kind: Probe, Worker: w.ID})
+		if d.s.CanTell {
+			d.tellHome(w, Ask)
+		} else {
+			d.emit(Action{Kind: Probe, Worker: w.ID})
+		}
 	}
 }
 
@@ -404,13 +399,10 @@
 	if (j.band == behind || d.now+run > j.aimAt) && d.now+Time(lateRoom*float64(run)) > j.end {
 		return false // guards against work that the client gives up on and that may run on at the worker
 	}
-	if d.now < w.capUntil && w.use+j.need > w.cap {
-		return false
-	}
 	if d.knows(w) {
 		return w.load+j.need <= w.kind.size || w.load <= w.kind.size && d.now >= j.heldAt+d.farAfter()
 	}
-	return w.use+j.need <= d.roomOf(w) || w.use == 0 && d.now >= w.openAt
+	return w.use+j.need <= d.roomOf(w) || w.use == 0
 }
 
 // serve sends held jobs to a worker while it has room: its own list's, then those whose picks it may join.
@@ -457,15 +449,6 @@
 	}
 }
 
-// placeAll places what waited for a worker's load.
-func (d *Dispatcher) placeAll(w *worker) {
-	for b := range w.lists {
-		for _, j := range w.lists[b].oldest(scanMost) {
-			d.place(j)
-		}
-	}
-}
-
 // knows says whether w's load has been told just now.
 func (d *Dispatcher) knows(w *worker) bool {
 	return d.s.CanTell && w.use == 0 && w.loadAt > 0 && d.now < w.loadAt+askLife
@@ -521,9 +504,9 @@
 
 // joinNext sets when further workers join a held job's picks: after loads asked for have had their time.
 func (d *Dispatcher) joinNext(j *job) {
-	j.joinAt = d.now + joinTick*Time(min(j.step+1, joinSlower))
+	j.joinAt = d.now + joinTick
 	if d.s.CanTell {
-		j.joinAt = max(j.joinAt, d.now+askLife)
+		j.joinAt = d.now + askLife
 	}
 }
 
@@ -600,13 +583,13 @@
 
 // ---- What workers tell, and how they are judged by it.
 
-// reported caps a room at our slots plus the free ones told. An old report neither caps nor opens a room.
-// A probe that comes back shows that a worker out of reach takes connections, not that a hanging one works.
+// reported takes what a worker tells of its load: its queue. Free slots are not
+// believed: they are older than a run. A probe that comes back shows that a worker out of reach takes connections, not that a hanging one works.
 func (d *Dispatcher) reported(w *worker, e *Event) {
 	if e.Kind == Probed && e.Result == OK && w.lost {
 		w.sign()
 	}
-	if e.Kind == Probed && e.Report.Known {
+	if e.Report.Known && !d.s.CanTell {
 		w.load, w.loadAt = max(0, e.Report.Queue), d.now
 		d.placeAll(w)
 	}
@@ -642,13 +625,13 @@
 	d.schedule(j)
 }
 
-// cut guards against a queue at the worker, where jobs wait out of reach: its room becomes what runs there
-// of ours. If that is nothing, others fill it, and we send one job at a time with longer and longer pauses.
+// cut guards against a queue at the worker, where jobs wait out of reach: its room becomes what runs there of ours,
+// and less than one if that is nothing: others fill it, and it is used where none with more room is found.
 func (d *Dispatcher) cut(w *worker) {
 	if w.running >= 1 {
 		w.room = min(d.roomOf(w), w.running)
 	} else {
-		w.room = max(roomFloor, min(d.roomOf(w), 1)*pauseCut)
+		w.room = max(roomFloor, min(d.roomOf(w), 1)*lastCut)
 	}
 	w.cutAt = d.now
 }
@@ -658,9 +641,6 @@
 	atRoom := w.use+j.need > w.room
 	a.neverRan = e.Result == Full || e.Result == NotSent || e.Result == Unreachable
 	d.freed(j, a)
-	if w.room < 1 {
-		w.openAt = d.now + Time(d.meanWork*d.all.pace*(1/w.room-1))
-	}
 	d.reported(w, e)
 	switch e.Result {
 	case OK:
--- a/rules/state.go
+++ b/rules/state.go
@@ -160,6 +160,15 @@
 	d.emit(Action{Kind: Tell, Peer: peer, Note: n})
 }
 
+// placeAll places what waited for a worker's load.
+func (d *Dispatcher) placeAll(w *worker) {
+	for b := range w.lists {
+		for _, j := range w.lists[b].oldest(scanMost) {
+			d.place(j)
+		}
+	}
+}
+
 // homeUse is what dispatchers have told to use of a worker whose home we are.
 type homeUse struct {
 	sum   float64
@@ -215,7 +224,7 @@
 	kind     *kindState
 	told     bool    // on the list
 	newsAt   Time    // of its first start or last restart
-	room     float64 // slots; below 1: one job at a time, with pauses
+	room     float64 // slots; below 1: others fill it
 	cutAt    Time
 	use      float64 // our slots in flight
 	running  float64 // our slots that have started
