--- a/rules/rules.go
+++ b/rules/rules.go
@@ -10,8 +10,7 @@
 	pickCount  = 2                 // held lists that a job joins at its landing: the paper's d
 	joinCount  = 8                 // lists that it joins each time it has found no room
 	picksMost  = 32                // picks weighed for one job: bounds the work of an event
-	drawsMost  = 4                 // draws for a pick that is fit for use
-	scanMost   = 8                 // held jobs looked at for one that fits: bounds the work of an event
+	scanMost   = 8                 // held jobs looked at, or draws, for one that fits: bounds it too
 	joinTick   = 10 * Millisecond  // no room for this long: further workers join the picks
 	crossWait  = 2 * Second / 10   // longer wait, times the price of a crossing, before other zones join
 	crossCost  = 5.0               // rooms that a crossing weighs, times its price
@@ -22,18 +21,20 @@
 	lastCut    = 0.75              // factor on a room of one job that queued behind others
 	queueSlack = 40 * Millisecond  // a start this far past two of the quickest: a queue at the worker
 	copySlack  = 10 * Millisecond  // the same where a copy elsewhere costs next to nothing
-	waitWeight = 0.1               // weight of the newest start in the mean waits of a kind and a zone
+	reportLife = 200 * Millisecond // free slots told count this long: slots turn over within a run
+	queueLife  = 2 * Second        // a queue told counts this long: it lasts where many wait
+	probeFrom  = 0.2               // mean waits, in usual runs, from which a probe is worth its price
+	askLife    = 25 * Millisecond  // a pick's load is waited for this long, and a home's word counts as long
+	homeAfter  = 1 * Second        // a home that has just started has not heard of all use
 	stallSlack = 400 * Millisecond // a progress note later than this is no pause: the worker stands still
-	failWeight = 0.2               // weight of the newest outcome in a worker's share of failures, at the least
+	newWeight  = 0.2               // weight of the newest outcome, start, connect or run in what is known of few
+	meanWeight = 0.02              // and in means over all workers
+	usualRuns  = 0.005             // and in a class's usual run, so that slowdowns pass sooner
 	failMargin = 0.25              // share of failures above twice the peers': distrust
-	zoneWeight = 0.3               // weight of the newest connect in a zone's share of lost ones; half: out of reach
 	trialGap   = 250 * Millisecond // between the first trials of a worker that is distrusted or silent
 	trialMost  = 4 * Second        // between its trials at the most: they double
-	paceWeight = 0.2               // weight of the newest run in a worker's pace
 	paceMost   = 20.0              // times the mean pace that one run counts for at most
 	lateRoom   = 1.5               // expected runs that must fit in before the client gives up
-	meanWeight = 0.02              // weight of the newest job in means over all workers
-	usualRuns  = 0.005             // weight of the newest run in its class's usual run: slowdowns pass sooner
 	extraShare = 0.15              // further attempts for each landing: bounds retry storms
 	extraMost  = 10.0              // further attempts saved up at most
 	cheapWaste = 0.1               // price of wasted work up to which a waiting job is entered twice
@@ -41,14 +42,8 @@
 	shedDown   = 0.1               // ... and less for each other start: a quarter may be late
 	shedFade   = 5 * Second        // refusing fades by itself over this: who refuses all sees no start
 	shedSkew   = 3.0               // how much rather landings that earn less are refused
-	coldChance = 1.0               // of the root of a count by chance: one window in hundreds holds more
 	usualOver  = 5.0               // seconds of an equal part of all traffic that weigh against our landings
-	shareLeast = 3.0               // requests that a tenant may send at once at the least
-	shareDepth = 1.0               // seconds of its quota that a tenant may send at once
-	probeFrom  = 0.2               // mean waits, in usual runs, from which a probe is worth its price
-	probeLife  = 2 * Second        // a queue told by a probe counts this long: it lasts while many wait
-	askLife    = 25 * Millisecond  // a pick's load is waited for this long, and counts as long
-	homeAfter  = 1 * Second        // a home that has just started has not heard of all use
+	shareLeast = 3.0               // requests that a tenant may send at once, or those of a second of its share
 	askAgain   = 200 * Millisecond // first wait before a lost list is asked for again: doubles
 	askTimes   = 3                 // asks within AskWithin at the least while there is no answer
 )
@@ -127,7 +122,7 @@
 // than it bears. That takes no agreement, and each dispatcher uses a part as large as its traffic.
 func (d *Dispatcher) coldBears(w *worker) float64 {
 	full := w.kind.size * float64(d.s.FallWindow) / (d.meanWork * d.paceOf(w))
-	root := max(0, math.Sqrt(d.s.FallMultiple*d.warmth(w)*full+1)-coldChance)
+	root := max(0, math.Sqrt(d.s.FallMultiple*d.warmth(w)*full+1)-1)
 	return root * root / (pickCount * full)
 }
 
@@ -203,7 +198,7 @@
 	ours := d.quotas / float64(d.s.GroupSize) * usualOver
 	usual := (ours + d.landings) / (usualOver + float64(d.now-d.bornAt)/float64(Second))
 	rate := t.Quota * min(1, usual/d.quotas)
-	t.left = min(max(shareLeast, rate*shareDepth), t.left+rate*float64(d.now-t.at)/float64(Second))
+	t.left = min(max(shareLeast, rate), t.left+rate*float64(d.now-t.at)/float64(Second))
 	t.at = d.now
 	over := t.left < 1
 	if !retry {
@@ -231,13 +226,9 @@
 	if d.overShare(j, retry) {
 		j.band, part = behind, d.s.OverShareWorth
 	}
-	wait := d.backlog(j)
-	if j.class.LateWorth > 0 { // what earns less for its time yields first, and still has its late worth
-		wait = Time(float64(wait) / value)
-	}
 	d.press(0)
 	// Guards against queues in which all end late, at the workers or here, and waits that come to nothing.
-	if d.rng.Float64() < math.Pow(d.shed, shedSkew*value*part) || d.now+wait > d.until(j) && !d.demote(j) {
+	if d.rng.Float64() < math.Pow(d.shed, shedSkew*value*part) || d.now+d.backlog(j) > d.until(j) && !d.demote(j) {
 		d.finish(j)
 		return
 	}
@@ -294,7 +285,7 @@
 	if near && d.s.PriceCross > 0 && len(d.near) > 0 {
 		from = d.near
 	}
-	for range min(drawsMost, len(from)) {
+	for range min(scanMost, len(from)) {
 		w := from[d.rng.IntN(len(from))]
 		z := d.zone(w)
 		switch {
@@ -349,7 +340,7 @@
 	if d.knows(w) {
 		use = (w.load + j.need) / w.kind.size
 	}
-	if !d.s.CanTell && w.loadAt > 0 && d.now < w.loadAt+probeLife {
+	if !d.s.CanTell && w.loadAt > 0 && d.now < w.loadAt+queueLife {
 		use += w.load / w.kind.size
 	}
 	if w.Zone != d.s.Zone {
@@ -399,6 +390,9 @@
 	if (j.band == behind || d.now+run > j.aimAt) && d.now+Time(lateRoom*float64(run)) > j.end {
 		return false // guards against work that the client gives up on and that may run on at the worker
 	}
+	if d.now < w.capUntil && w.use+j.need > w.cap {
+		return false
+	}
 	if d.knows(w) {
 		return w.load+j.need <= w.kind.size || w.load <= w.kind.size && d.now >= j.heldAt+d.farAfter()
 	}
@@ -456,24 +450,6 @@
 
 // ---- Time.
 
-// schedule sets a job's timer to what is due first.
-func (d *Dispatcher) schedule(j *job) {
-	at := j.end
-	if j.ticket != 0 {
-		at = min(at, j.joinAt)
-		if j.out() == 0 {
-			at = min(at, max(d.until(j), d.now+Millisecond))
-		}
-	}
-	if d.hopeless(j) {
-		at = min(at, j.aimAt)
-	}
-	for i := range j.attempts {
-		at = min(at, d.signDue(j, &j.attempts[i]))
-	}
-	d.setTimer(j, at)
-}
-
 // review does what time has made due for a job.
 func (d *Dispatcher) review(j *job) {
 	for i := range j.attempts {
@@ -583,15 +559,17 @@
 
 // ---- What workers tell, and how they are judged by it.
 
-// reported takes what a worker tells of its load: its queue. Free slots are not
-// believed: they are older than a run. A probe that comes back shows that a worker out of reach takes connections, not that a hanging one works.
+// reported takes what a worker tells of its load: free slots cap its room where they come with an answer. What a probe
+// tells of them is older than a run, and all would flock there; queues last. An answer clears one out of reach only.
 func (d *Dispatcher) reported(w *worker, e *Event) {
 	if e.Kind == Probed && e.Result == OK && w.lost {
 		w.sign()
 	}
-	if e.Report.Known && !d.s.CanTell {
+	if e.Report.Known && e.Kind == Probed && !d.s.CanTell {
 		w.load, w.loadAt = max(0, e.Report.Queue), d.now
 		d.placeAll(w)
+	} else if e.Report.Known && e.Report.FreeSlots >= 0 {
+		w.cap, w.capUntil = w.use+e.Report.FreeSlots, d.now+reportLife
 	}
 }
 
@@ -609,10 +587,10 @@
 		w.kind.size = max(w.kind.size, min(a.load, w.kind.size+1))
 	}
 	z.base = min(z.base, delay)
-	z.lost -= z.lost * zoneWeight
+	z.lost -= z.lost * newWeight
 	wait := float64(max(0, delay-z.base-queueSlack)) / (d.meanWork * d.all.pace)
-	w.kind.wait += (wait - w.kind.wait) * waitWeight
-	z.wait += (wait - z.wait) * waitWeight
+	w.kind.wait += (wait - w.kind.wait) * newWeight
+	z.wait += (wait - z.wait) * newWeight
 	if a.queued && d.now+Time(d.expect(j)*d.paceOf(w)) > j.aimAt {
 		d.press(shedUp)
 	} else {
@@ -649,7 +627,7 @@
 		w.room, w.cutAt = max(roomFloor, min(w.room, w.use)), d.now
 	case Unreachable:
 		w.lost = true
-		z.lost += (1 - z.lost) * zoneWeight
+		z.lost += (1 - z.lost) * newWeight
 		d.suspect(w) // guards against a dead worker: it fails all and always has room
 	case Failed, Disconnected:
 		d.judge(w, 1)
@@ -667,7 +645,7 @@
 	w := a.w
 	d.judge(w, 0)
 	w.sign()
-	run, weight := float64(d.now-max(a.startedAt, a.sentAt)), paceWeight
+	run, weight := float64(d.now-max(a.startedAt, a.sentAt)), newWeight
 	if j.work == 0 {
 		weight /= 4 // without hints a long run mostly means a long job
 	}
@@ -698,7 +676,7 @@
 // share is no worker's fault. Its first outcomes count for more: with little traffic there are no others.
 func (d *Dispatcher) judge(w *worker, failed float64) {
 	w.outcomes++
-	w.fails += (failed - w.fails) * max(failWeight, 1/(w.outcomes+1))
+	w.fails += (failed - w.fails) * max(newWeight, 1/(w.outcomes+1))
 	d.fails += (failed - d.fails) * meanWeight
 	bad := w.fails > 2*d.fails+failMargin && (w.distrust || d.doubted < len(d.ready)/3)
 	if bad && !w.distrust {
--- a/rules/state.go
+++ b/rules/state.go
@@ -516,6 +516,24 @@
 	d.held[j.band].push(j)
 }
 
+// schedule sets a job's timer to what is due first.
+func (d *Dispatcher) schedule(j *job) {
+	at := j.end
+	if j.ticket != 0 {
+		at = min(at, j.joinAt)
+		if j.out() == 0 {
+			at = min(at, max(d.until(j), d.now+Millisecond))
+		}
+	}
+	if d.hopeless(j) {
+		at = min(at, j.aimAt)
+	}
+	for i := range j.attempts {
+		at = min(at, d.signDue(j, &j.attempts[i]))
+	}
+	d.setTimer(j, at)
+}
+
 // setTimer replaces a job's timer.
 func (d *Dispatcher) setTimer(j *job, at Time) {
 	d.serial++
