--- a/rules/rules.go
+++ b/rules/rules.go
@@ -10,7 +10,7 @@
 	pickCount  = 2                 // held lists that a job joins at its landing: the paper's d
 	joinCount  = 8                 // lists that it joins each time it has found no room
 	picksMost  = 32                // picks weighed for one job: bounds the work of an event
-	scanMost   = 8                 // held jobs looked at, or draws, for one that fits: bounds it too
+	scanMost   = 8                 // held jobs looked at, or draws, for one that fits: bounds that too
 	joinTick   = 10 * Millisecond  // no room for this long: further workers join the picks
 	crossWait  = 2 * Second / 10   // longer wait, times the price of a crossing, before other zones join
 	crossCost  = 5.0               // rooms that a crossing weighs, times its price
@@ -117,9 +117,9 @@
 	return d.s.ColdFrom + (1-d.s.ColdFrom)*float64(age)/float64(d.s.WarmWithin)
 }
 
-// coldBears is the chance by which a draw of a cold worker counts. All dispatchers together draw it pickCount times
-// for each job that it could run at full load; so many count that chance hardly ever brings more into one window
-// than it bears. That takes no agreement, and each dispatcher uses a part as large as its traffic.
+// coldBears is the chance by which a draw of a cold worker counts. All dispatchers draw it pickCount times for each
+// job that it could run when warm; so many count that hardly any window brings more than it bears. Each dispatcher
+// uses a part as large as its traffic, with no agreement.
 func (d *Dispatcher) coldBears(w *worker) float64 {
 	full := w.kind.size * float64(d.s.FallWindow) / (d.meanWork * d.paceOf(w))
 	root := max(0, math.Sqrt(d.s.FallMultiple*d.warmth(w)*full+1)-1)
@@ -139,8 +139,8 @@
 	return Time(math.Exp(c.hints + trust*(math.Log(float64(hint))-c.hints)))
 }
 
-// until is the last moment at which a send can earn what the job's band stands for: its full worth on a usual
-// worker, and a quarter of that time for a job heavier than those can run; late, an end before the client gives up.
+// until is the last moment at which a send can earn what the job's band stands for: its full worth on a usual worker
+// (heavy jobs get a quarter of their time); late, an end before the client gives up.
 func (d *Dispatcher) until(j *job) Time {
 	run := d.expect(j) * d.all.pace
 	if j.band == behind && j.class.LateWorth > 0 {
@@ -158,22 +158,6 @@
 	return d.now < d.until(j)
 }
 
-// value is what a class earns for the time it takes, against the class that earns most.
-func (d *Dispatcher) value(c *classState) float64 {
-	best, own := 0.0, 0.0
-	for i := range d.classes {
-		o := &d.classes[i]
-		worth := o.Worth
-		if !d.s.WorthByWork {
-			worth /= o.run
-		}
-		if best = max(best, worth); o == c {
-			own = worth
-		}
-	}
-	return max(own, 1e-9) / max(best, 1e-9)
-}
-
 // backlog is how long the work ahead of a job takes with the slots we have in flight (Little's law), and not much
 // longer than the oldest held job has waited: with little in flight the law tells nothing.
 func (d *Dispatcher) backlog(j *job) Time {
@@ -210,8 +194,7 @@
 	return over
 }
 
-// press follows how many of our jobs a queue at a worker makes start too late: many dispatchers hold nothing back,
-// and their queues stand at the workers, where all would end late.
+// press follows how many jobs start too late: of many dispatchers each holds little, the queues stand at the workers.
 func (d *Dispatcher) press(change float64) {
 	d.shed = max(0, d.shed*math.Exp(-float64(d.now-d.shedAt)/float64(shedFade))+change)
 	d.shed, d.shedAt = min(1, d.shed), d.now
@@ -222,23 +205,22 @@
 func (d *Dispatcher) land(j *job, retry bool) {
 	d.extra = min(extraMost, d.extra+extraShare)
 	d.meanWork += (d.expect(j) - d.meanWork) * meanWeight
-	value, part := d.value(j.class), 1.0
+	part := 1.0
 	if d.overShare(j, retry) {
 		j.band, part = behind, d.s.OverShareWorth
 	}
 	d.press(0)
 	// Guards against queues in which all end late, at the workers or here, and waits that come to nothing.
-	if d.rng.Float64() < math.Pow(d.shed, shedSkew*value*part) || d.now+d.backlog(j) > d.until(j) && !d.demote(j) {
+	if d.rng.Float64() < math.Pow(d.shed, shedSkew*part) || d.now+d.backlog(j) > d.until(j) && !d.demote(j) {
 		d.finish(j)
-		return
+	} else {
+		d.hold(j)
 	}
-	d.hold(j)
 }
 
 // hold joins the lists of random ready workers and sends at once where one of them has room.
 func (d *Dispatcher) hold(j *job) {
 	d.enlist(j)
-	d.joinNext(j)
 	d.draw(j, pickCount)
 	if !d.place(j) {
 		d.schedule(j)
@@ -248,6 +230,10 @@
 // draw joins the lists of n further workers, and asks for the load of those where no job of ours tells it: their
 // homes, or at first and where starts wait so much that queues last, themselves by probes.
 func (d *Dispatcher) draw(j *job, n int) {
+	j.joinAt = d.now + joinTick
+	if d.s.CanTell {
+		j.joinAt = d.now + askLife
+	}
 	for i := range n {
 		w := d.pick(j, i%2 == 0 || d.rng.Float64() >= d.farShare(j))
 		if w == nil || j.picked(w) {
@@ -270,8 +256,7 @@
 // farAfter is how long a job must have waited before all zones join its picks.
 func (d *Dispatcher) farAfter() Time { return joinTick + Time(d.s.PriceCross*float64(crossWait)) }
 
-// farShare is the chance that a pick is drawn from all zones: it grows as starts wait in the own one, the more so
-// the cheaper a crossing is.
+// farShare is the chance that a pick is drawn from all zones: the more, the longer starts wait in the own one.
 func (d *Dispatcher) farShare(j *job) float64 {
 	if d.now >= j.heldAt+d.farAfter() || d.s.Zone < 0 {
 		return 1
@@ -289,11 +274,6 @@
 		w := from[d.rng.IntN(len(from))]
 		z := d.zone(w)
 		switch {
-		case w.lost && d.s.CanProbe: // tried by a probe: a job would lose time
-			if d.now >= w.trialAt {
-				d.spaceTrials(w)
-				d.emit(Action{Kind: Probe, Worker: w.ID})
-			}
 		case (w.distrust || w.silent) && d.now < w.trialAt:
 		case z.lost > 0.5 && d.now < z.trialAt: // guards against a cut link: no worker behind it can be reached
 		case d.warmth(w) < 1 && !(j.first && j.step == 0 && d.rng.Float64() < d.coldBears(w)):
@@ -306,35 +286,26 @@
 	return nil
 }
 
-// place sends a held job to the pick that has room and uses least of it, once the picks' loads are told.
+// place sends a held job to the pick that has room and uses least of it, ties at random, once their loads are told.
 func (d *Dispatcher) place(j *job) bool {
 	var best *worker
+	least := math.Inf(1)
 	for _, w := range j.picks {
 		if w.askedAt > w.loadAt && d.now < w.askedAt+askLife {
 			return false
 		}
-		best = d.better(j, best, w)
+		if !d.hasRoom(j, w) {
+			continue
+		}
+		if x := d.usage(j, w); x < least || x == least && d.rng.IntN(2) == 0 {
+			best, least = w, x
+		}
 	}
 	return best != nil && d.send(j, best)
 }
 
-// better returns the one of two workers with room for the job that uses less of its room, ties at random.
-func (d *Dispatcher) better(j *job, a, b *worker) *worker {
-	if !d.hasRoom(j, b) {
-		return a
-	}
-	if a == nil {
-		return b
-	}
-	x, y := d.usage(j, a), d.usage(j, b)
-	if y < x || y == x && d.rng.IntN(2) == 0 {
-		return b
-	}
-	return a
-}
-
-// usage is the share of its room that w would use with the job. What else counts against w: that starts wait at its
-// kind and in its zone, as little is seen of one worker, and the price of a crossing.
+// usage is the share of its room that w would use with the job. Of one worker little is seen, so waits at its kind and
+// in its zone count too, and the price of a crossing.
 func (d *Dispatcher) usage(j *job, w *worker) float64 {
 	use := (w.use+j.need)/d.roomOf(w) + w.kind.wait + d.zone(w).wait
 	if d.knows(w) {
@@ -349,17 +320,13 @@
 	return use
 }
 
-// usualRoom is the mean room, more or less as the list tells the worker's size.
-func (d *Dispatcher) usualRoom(w *worker) float64 {
-	if d.weight <= 0 || w.Weight <= 0 {
-		return d.room
-	}
-	return d.room * w.Weight / d.weight
-}
-
-// roomOf is a worker's room. Where nothing of ours is, a cut is forgotten as the load of others changes.
+// roomOf is a worker's room. The usual one is the mean, more or less as the list tells the worker's size; where nothing
+// of ours is, a cut is forgotten as the load of others changes.
 func (d *Dispatcher) roomOf(w *worker) float64 {
-	usual := d.usualRoom(w)
+	usual := d.room
+	if d.weight > 0 && w.Weight > 0 {
+		usual *= w.Weight / d.weight
+	}
 	if w.room >= usual || w.use > 0 {
 		return w.room
 	}
@@ -379,75 +346,36 @@
 	if !d.maySend(j, w) || j.class.Kind >= 0 && w.Kind != j.class.Kind {
 		return false
 	}
-	if j.triedAt(w) && len(d.ready) > 1 {
-		return false // guards against a worker that fails one job again and again
-	}
-	if w.distrust || w.silent {
-		// Guards against a black hole: a worker that errs or hangs always has room.
-		return w.use == 0 && d.now >= w.trialAt && j.class.Effect != Unsafe && !(w.lost && d.s.CanProbe)
-	}
-	run := Time(d.expect(j) * d.paceOf(w))
-	if (j.band == behind || d.now+run > j.aimAt) && d.now+Time(lateRoom*float64(run)) > j.end {
-		return false // guards against work that the client gives up on and that may run on at the worker
-	}
-	if d.now < w.capUntil && w.use+j.need > w.cap {
+	switch {
+	case j.triedAt(w) && len(d.ready) > 1: // guards against a worker that fails one job again and again
 		return false
-	}
-	if d.knows(w) {
+	case w.distrust || w.silent: // guards against a black hole: a worker that errs or hangs always has room
+		return w.use == 0 && d.now >= w.trialAt && j.class.Effect != Unsafe
+	case d.now+Time(lateRoom*d.expect(j)*d.paceOf(w)) > j.end: // guards against work that outlives its client
+		return false
+	case d.now < w.capUntil && w.use+j.need > w.cap:
+		return false
+	case d.knows(w):
 		return w.load+j.need <= w.kind.size || w.load <= w.kind.size && d.now >= j.heldAt+d.farAfter()
 	}
 	return w.use+j.need <= d.roomOf(w) || w.use == 0
 }
 
-// serve sends held jobs to a worker while it has room: its own list's, then those whose picks it may join.
+// serve sends held jobs to a worker while it has room: the oldest of its own list, then those it may join.
 func (d *Dispatcher) serve(w *worker) {
-	age := joinTick
+	heldBefore := d.now - joinTick
 	if w.Zone != d.s.Zone {
-		age = d.farAfter()
+		heldBefore = d.now - d.farAfter()
 	}
 	for b := range bands {
-		for d.take(w, &w.lists[b], 0) || d.take(w, &d.held[b], age) {
-		}
-	}
-}
-
-// take sends the oldest job of a list that fits.
-func (d *Dispatcher) take(w *worker, q *queue, age Time) bool {
-	for _, j := range q.oldest(scanMost) {
-		if d.now < j.heldAt+age {
-			return false
-		}
-		if d.hasRoom(j, w) && d.send(j, w) {
-			return true
-		}
-	}
-	return false
-}
-
-// ---- Notes. Where dispatchers may tell each other, each worker has a home among them that adds up what all use of
-// it. A lost note costs nothing but that a job is placed without.
-
-// heard takes a note: as a home, or with a load that was asked for.
-func (d *Dispatcher) heard(peer int, n Note) {
-	w := d.tags[n.Tag]
-	switch {
-	case n.Kind == Use:
-		d.noteUse(peer, n)
-	case n.Kind == Ask && d.now >= d.bornAt+homeAfter:
-		d.tell(peer, Note{Kind: Load, Tag: n.Tag, Slots: d.uses[n.Tag].sum})
-	case n.Kind == Load && w != nil:
-		w.load, w.loadAt = n.Slots, d.now
-		if peer != d.s.Ordinal {
-			d.placeAll(w)
+		for _, j := range append(w.lists[b].oldest(d.now), d.held[b].oldest(heldBefore)...) {
+			if j.ticket != 0 && d.hasRoom(j, w) {
+				d.send(j, w)
+			}
 		}
 	}
 }
 
-// knows says whether w's load has been told just now.
-func (d *Dispatcher) knows(w *worker) bool {
-	return d.s.CanTell && w.use == 0 && w.loadAt > 0 && d.now < w.loadAt+askLife
-}
-
 // ---- Time.
 
 // review does what time has made due for a job.
@@ -467,7 +395,6 @@
 		}
 	case j.ticket != 0 && d.now >= j.joinAt:
 		j.step++
-		d.joinNext(j)
 		if !d.place(j) {
 			d.draw(j, joinCount)
 			d.place(j)
@@ -478,14 +405,6 @@
 	}
 }
 
-// joinNext sets when further workers join a held job's picks: after loads asked for have had their time.
-func (d *Dispatcher) joinNext(j *job) {
-	j.joinAt = d.now + joinTick
-	if d.s.CanTell {
-		j.joinAt = d.now + askLife
-	}
-}
-
 // hopeless says whether a job waits at workers only, in queues where it is worth nothing once its aim has passed.
 func (d *Dispatcher) hopeless(j *job) bool {
 	return j.class.LateWorth <= 0 && d.pulls() && j.out() > 0 && !j.running()
@@ -496,8 +415,8 @@
 	return d.s.CanCancel && d.s.TellsStart && d.s.SecondCopies && d.s.PriceWaste <= cheapWaste
 }
 
-// races says whether a job that waits at a worker may be entered at a second one: the first start deletes the other,
-// as in the paper. So a dispatcher finds a free worker without knowing the others' load.
+// races says whether a job that waits at a worker is entered at a second one too: the first start deletes the other,
+// as in the paper, and finds a free worker though the others' load is not known.
 func (d *Dispatcher) races(j *job) bool { return d.pulls() && j.class.Effect == Safe }
 
 // startBy is how long after its send a job has started if nothing waits at the worker.
@@ -560,11 +479,8 @@
 // ---- What workers tell, and how they are judged by it.
 
 // reported takes what a worker tells of its load: free slots cap its room where they come with an answer. What a probe
-// tells of them is older than a run, and all would flock there; queues last. An answer clears one out of reach only.
+// tells of them is older than a run, and all would flock there; queues last.
 func (d *Dispatcher) reported(w *worker, e *Event) {
-	if e.Kind == Probed && e.Result == OK && w.lost {
-		w.sign()
-	}
 	if e.Report.Known && e.Kind == Probed && !d.s.CanTell {
 		w.load, w.loadAt = max(0, e.Report.Queue), d.now
 		d.placeAll(w)
@@ -603,8 +519,7 @@
 	d.schedule(j)
 }
 
-// cut guards against a queue at the worker, where jobs wait out of reach: its room becomes what runs there of ours,
-// and less than one if that is nothing: others fill it, and it is used where none with more room is found.
+// cut guards against a queue at the worker, out of reach: its room becomes what runs of ours, less than one if nothing.
 func (d *Dispatcher) cut(w *worker) {
 	if w.running >= 1 {
 		w.room = min(d.roomOf(w), w.running)
@@ -626,7 +541,6 @@
 	case Full:
 		w.room, w.cutAt = max(roomFloor, min(w.room, w.use)), d.now
 	case Unreachable:
-		w.lost = true
 		z.lost += (1 - z.lost) * newWeight
 		d.suspect(w) // guards against a dead worker: it fails all and always has room
 	case Failed, Disconnected:
@@ -681,17 +595,18 @@
 	bad := w.fails > 2*d.fails+failMargin && (w.distrust || d.doubted < len(d.ready)/3)
 	if bad && !w.distrust {
 		d.doubted++
-		w.trialAt = d.now + trialGap
+		d.spaceTrials(w)
 	} else if !bad && w.distrust {
 		d.doubted--
 	}
 	w.distrust = bad
 }
 
-// suspect leaves a worker that gives no sign to single trials, further and further apart, until it gives one.
+// suspect leaves a worker that gives no sign to single trials until it gives one.
 func (d *Dispatcher) suspect(w *worker) {
 	if !w.silent {
-		w.silent, w.gap, w.trialAt = true, trialGap/2, d.now+trialGap/2
+		w.silent = true
+		d.spaceTrials(w)
 	}
 }
 
--- a/rules/state.go
+++ b/rules/state.go
@@ -116,6 +116,30 @@
 	hintVar, hintCov float64 // and how they go together
 }
 
+// Notes. Where dispatchers may tell each other, each worker has a home among them that adds up what all use of it. A
+// lost note costs nothing but that a job is placed without.
+
+// heard takes a note: as a home, or with a load that was asked for.
+func (d *Dispatcher) heard(peer int, n Note) {
+	w := d.tags[n.Tag]
+	switch {
+	case n.Kind == Use:
+		d.noteUse(peer, n)
+	case n.Kind == Ask && d.now >= d.bornAt+homeAfter:
+		d.tell(peer, Note{Kind: Load, Tag: n.Tag, Slots: d.uses[n.Tag].sum})
+	case n.Kind == Load && w != nil:
+		w.load, w.loadAt = n.Slots, d.now
+		if peer != d.s.Ordinal {
+			d.placeAll(w)
+		}
+	}
+}
+
+// knows says whether w's load has been told just now.
+func (d *Dispatcher) knows(w *worker) bool {
+	return d.s.CanTell && w.use == 0 && w.loadAt > 0 && d.now < w.loadAt+askLife
+}
+
 // sent and freed keep the slots in use and tell the worker's home of them.
 func (d *Dispatcher) sent(j *job, a attempt) {
 	j.attempts = append(j.attempts, a)
@@ -163,7 +187,7 @@
 // placeAll places what waited for a worker's load.
 func (d *Dispatcher) placeAll(w *worker) {
 	for b := range w.lists {
-		for _, j := range w.lists[b].oldest(scanMost) {
+		for _, j := range w.lists[b].oldest(d.now) {
 			d.place(j)
 		}
 	}
@@ -250,7 +274,7 @@
 func (w *worker) isReady() bool { return w.told && w.State == Ready }
 
 // sign takes a worker's sign of life.
-func (w *worker) sign() { w.silent, w.lost, w.gap = false, false, 0 }
+func (w *worker) sign() { w.silent, w.gap = false, 0 }
 
 // sameGroup says whether two workers drop repeats of each other's jobs.
 func sameGroup(g Group, a, b *worker) bool {
@@ -500,7 +524,11 @@
 			continue
 		}
 		for b := range w.lists {
-			jobs = append(jobs, w.lists[b].oldest(math.MaxInt)...)
+			for _, e := range w.lists[b].items[w.lists[b].head:] {
+				if e.live() {
+					jobs = append(jobs, e.j)
+				}
+			}
 			w.lists[b] = queue{}
 		}
 	}
@@ -638,11 +666,11 @@
 	q.items = append(q.items, entry{j, j.ticket})
 }
 
-// oldest returns the oldest n live jobs.
-func (q *queue) oldest(n int) (jobs []*job) {
+// oldest returns the oldest jobs that are held since before a time, scanMost of them at the most.
+func (q *queue) oldest(before Time) (jobs []*job) {
 	q.trim()
 	for _, e := range q.items[q.head:] {
-		if len(jobs) == n {
+		if e.live() && (len(jobs) == scanMost || e.j.heldAt > before) {
 			break
 		}
 		if e.live() {
