--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -269,3 +269,63 @@
 		}
 	})
 }
+
+func TestNotesRoundTrip(t *testing.T) {
+	for _, n := range []rules.Note{
+		{Kind: rules.Ask, Tag: 0xfedcba98},
+		{Kind: rules.Load, Tag: 1, Slots: 2.5},
+		{Kind: rules.Use, Tag: 77, Slots: 31.875},
+	} {
+		got, known := readNote(appendNote(nil, n))
+		if !known || got != n {
+			t.Errorf("got %+v, %v, want %+v", got, known, n)
+		}
+	}
+	if n, _ := readNote(appendNote(nil, rules.Note{Kind: rules.Use, Slots: 1e9})); n.Slots != 255.0/8 {
+		t.Errorf("more slots than a note holds became %v", n.Slots)
+	}
+	for _, raw := range []string{"", "-", "aGkgNw==", "/////////w==", "not base64!", "AAAAAAAAAAAAAAAAAAAAAAAAAAAA"} {
+		if n, known := readNote([]byte(raw)); known {
+			t.Errorf("%q was read as %+v", raw, n)
+		}
+	}
+}
+
+func TestNotesOnTheWire(t *testing.T) {
+	note := string(appendNote(nil, rules.Note{Kind: rules.Load, Tag: 9, Slots: 3}))
+	msgs, _, err := readAll(batch(powerOn, "DATAGRAM\t4\t"+note+"\n", "DATAGRAM\t5\taGkgNw==\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var heard []rules.Event
+	for _, m := range msgs {
+		if m.Kind == InstanceEvent && m.Event.Kind == rules.Heard {
+			heard = append(heard, *m.Event)
+		}
+	}
+	want := rules.Note{Kind: rules.Load, Tag: 9, Slots: 3}
+	if len(heard) != 1 || heard[0].Peer != 4 || heard[0].Note != want {
+		t.Fatalf("got %+v, want one note from 4; what no peer of ours sends is passed over", heard)
+	}
+	var out bytes.Buffer
+	w := NewWriter(&out)
+	if err := w.Actions(3, newNames(), []rules.Action{{Kind: rules.Tell, Peer: 12, Note: want}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := w.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	if got := out.String(); got != "BY\t3\nWRITE_PEER\t12\t"+note+"\nEOR\n" {
+		t.Fatalf("got %q", got)
+	}
+}
+
+// Dispatchers must agree on a worker's tag, whatever order they meet the names in.
+func TestTagsAreTheSameAtEveryInstance(t *testing.T) {
+	a, b := newNames(), newNames()
+	b.worker("10.0.0.9:1")
+	x, y := a.worker("10.0.0.1:7"), b.worker("10.0.0.1:7")
+	if x == y || a.workerTags[x] != b.workerTags[y] || b.workerTags[0] == b.workerTags[y] {
+		t.Fatalf("ids %d and %d, tags %v and %v", x, y, a.workerTags, b.workerTags)
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -69,6 +69,9 @@
 	return n
 }
 
+// unsent says whether the job is held with nothing out.
+func (j *job) unsent() bool { return j.ticket != 0 && j.out() == 0 }
+
 // running says whether an attempt that has not ended has started.
 func (j *job) running() bool {
 	for i := range j.attempts {
@@ -377,6 +380,9 @@
 	if s.Zone < -1 || s.Zone >= s.Zones {
 		return fmt.Errorf("Zone: %d is out of range", s.Zone)
 	}
+	if s.Ordinal < 0 || s.Ordinal >= max(s.GroupSize, 1) {
+		return fmt.Errorf("Ordinal: %d is not in the group", s.Ordinal)
+	}
 	if s.GroupSize < 1 || s.MaxAttempts < 1 {
 		return errors.New("GroupSize or MaxAttempts: less than 1")
 	}
@@ -424,8 +430,10 @@
 		if w := d.worker(e.Worker); w != nil {
 			d.reported(w, e)
 		}
-	case Heard:
-		d.heard(e.Peer, e.Note)
+	case Heard: // nonsense from peers is passed over
+		if d.s.CanTell && e.Peer >= 0 && e.Peer < d.s.GroupSize && e.Peer != d.s.Ordinal && e.Note.Slots >= 0 {
+			d.heard(e.Peer, e.Note)
+		}
 	case TimerFired:
 		if d.armedAt <= d.now {
 			d.armedAt = never
@@ -549,8 +557,8 @@
 	at := j.end
 	if j.ticket != 0 {
 		at = min(at, j.joinAt)
-		if j.out() == 0 {
-			at = min(at, max(d.until(j), d.now+Millisecond))
+		if j.unsent() {
+			at = min(at, d.until(j))
 		}
 	}
 	if d.hopeless(j) {
