--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1139,6 +1139,7 @@
 		t.Fatalf("sum %v", d.uses[7].sum)
 	}
 	p[1].wait(noteLife)
+	p[1].do(Event{Kind: TimerFired})
 	d.noteUse(1, Note{Kind: Use, Tag: 7, Slots: 1})
 	if d.uses[7].sum != 1 {
 		t.Fatalf("sum %v long after the first word, want only the second", d.uses[7].sum)
