--- a/rules/rules.go
+++ b/rules/rules.go
@@ -383,10 +383,12 @@
 
 // signDue is when an attempt's start, or its next progress, should have been told of at the latest.
 func (d *Dispatcher) signDue(j *job, a *attempt) Time {
-	if a.out && a.startedAt == 0 && !a.queued && d.s.TellsStart {
+	switch {
+	case a.out && a.startedAt == 0 && !a.queued && d.s.TellsStart:
 		return a.sentAt + d.startBy(j, a.w)
-	}
-	if a.out && a.startedAt > 0 && !a.stalled && d.s.Progress > 0 {
+	case a.out && a.startedAt == 0 && !a.late && d.s.TellsStart:
+		return max(d.until(j), a.sentAt+1)
+	case a.out && a.startedAt > 0 && !a.stalled && d.s.Progress > 0:
 		return a.noteAt + d.s.Progress + stallSlack
 	}
 	return never
@@ -401,6 +403,10 @@
 		a.stalled = true
 		d.suspect(a.w) // guards against a worker that takes jobs and answers none
 		return
+	case a.queued:
+		a.late = true
+		d.press(shedUp)
+		return
 	}
 	a.queued = true
 	d.cut(a.w)
@@ -441,10 +447,6 @@
 
 func (d *Dispatcher) started(j *job, a *attempt) {
 	w, z, delay := a.w, d.zone(a.w), max(1, d.now-a.sentAt)
-	if !a.queued && delay > d.startBy(j, w) {
-		a.queued = true
-		d.cut(w)
-	}
 	w.sign()
 	a.startedAt, a.noteAt, w.running = d.now, d.now, w.running+j.need
 	w.kind.size = max(w.kind.size, w.running)
@@ -456,9 +458,7 @@
 	wait := float64(max(0, delay-z.base-queueSlack)) / (d.meanWork * d.all.pace)
 	w.kind.wait += (wait - w.kind.wait) * newWeight
 	z.wait += (wait - z.wait) * newWeight
-	if a.queued && d.now+Time(d.expect(j)*d.paceOf(w)) > j.aimAt {
-		d.press(shedUp)
-	} else {
+	if !a.late {
 		d.press(-shedDown)
 	}
 	if j.open && d.races(j) {
--- a/rules/state.go
+++ b/rules/state.go
@@ -32,6 +32,7 @@
 	queued    bool    // has told of a queue at the worker
 	pulled    bool    // taken back
 	load      float64 // slots that all used there with it, as far as known
+	late      bool    // queued so long that it cannot be in time
 	stalled   bool
 }
 
