--- a/rules/rules.go
+++ b/rules/rules.go
@@ -8,12 +8,12 @@
 // Constants: value, unit, reason. docs/design.md tells how sensitive the results are to each.
 const (
 	pickCount  = 2                 // held lists that a job joins at its landing: the paper's d
-	joinCount  = 8                 // lists that it joins each time it has found no room
-	picksMost  = 32                // picks weighed for one job: bounds the work of an event
+	joinCount  = 24                // lists that it joins each time it has found no room
+	picksMost  = 64                // picks weighed for one job: bounds the work of an event
 	scanMost   = 8                 // held jobs looked at, or draws, for one that fits: bounds that too
 	joinTick   = 10 * Millisecond  // no room for this long: further workers join the picks
 	crossWait  = 2 * Second / 10   // longer wait, times the price of a crossing, before other zones join
-	crossCost  = 5.0               // rooms that a crossing weighs, times its price
+	crossCost  = 15.0              // rooms that a crossing weighs, times its price
 	roomStart  = 2.0               // slots; every dispatcher takes this of a worker whose size nobody knows
 	roomStep   = 0.5               // slots of room for each slot of success at the room
 	roomFloor  = 1.0 / 8           // slots at the least
@@ -234,7 +234,7 @@
 func (d *Dispatcher) pick(j *job, near bool) *worker {
 	from := d.ready
 	if cost := crossCost * d.s.PriceCross; cost > 0 && len(d.near) > 0 &&
-		(near || d.now < j.heldAt+d.farAfter() && d.rng.Float64()*cost >= d.zones[d.s.Zone].wait) {
+		(near || d.now < j.heldAt+d.farAfter() && math.Sqrt(d.rng.Float64())*cost >= d.zones[d.s.Zone].wait) {
 		from = d.near
 	}
 	for range min(scanMost, len(from)) {
@@ -286,13 +286,13 @@
 	return use
 }
 
-// roomOf is a worker's room. Where nothing of ours is, a cut fades to the mean, scaled by the listed size.
+// roomOf is a worker's room. With nothing of ours there, and no notes, a cut fades to the mean by listed size.
 func (d *Dispatcher) roomOf(w *worker) float64 {
 	usual := d.room
 	if d.weight > 0 && w.Weight > 0 {
 		usual *= w.Weight / d.weight
 	}
-	if w.room >= usual || w.use > 0 {
+	if w.room >= usual || w.use > 0 || d.s.CanTell {
 		return w.room
 	}
 	return w.room + (usual-w.room)*min(1, float64(d.now-w.cutAt)/(roomFade*d.meanWork*d.all.pace))
