--- a/rules/rules.go
+++ b/rules/rules.go
@@ -286,7 +286,7 @@
 	return use
 }
 
-// roomOf is a worker's room. With nothing of ours there, and no notes, a cut fades to the mean by listed size.
+// roomOf is a worker's room. With nothing of ours there and no notes, a cut fades to the mean by listed size.
 func (d *Dispatcher) roomOf(w *worker) float64 {
 	usual := d.room
 	if d.weight > 0 && w.Weight > 0 {
