--- a/rules/rules.go
+++ b/rules/rules.go
@@ -114,12 +114,12 @@
 	return d.s.ColdFrom + (1-d.s.ColdFrom)*float64(age)/float64(d.s.WarmWithin)
 }
 
-// coldBears is the chance by which a draw of a cold worker counts: all draw it pickCount times for each job
-// it could run when warm, and so many count that hardly any window brings more than it bears.
+// coldBears is the chance by which a draw of a cold worker counts: at full load as many jobs take it as it
+// could run when warm, and so many count that hardly any window brings more than it bears.
 func (d *Dispatcher) coldBears(w *worker) float64 {
 	full := w.kind.size * float64(d.s.FallWindow) / (d.meanWork * d.paceOf(w))
 	root := max(0, math.Sqrt(d.s.FallMultiple*d.warmth(w)*full+1)-1)
-	return root * root / (pickCount * full)
+	return root * root / full
 }
 
 // believe shrinks a hint towards the mean as far as hints told little of run times (a regression of logs).
@@ -271,9 +271,9 @@
 	return best != nil && d.send(j, best)
 }
 
-// usage is the share of its room that w would use, more where its kind or zone makes jobs wait or is far.
+// usage is the share of its room that w would use, times its pace, and more where jobs wait or if it is far.
 func (d *Dispatcher) usage(j *job, w *worker) float64 {
-	use := (w.use+j.need)/d.roomOf(w) + w.kind.wait + d.zone(w).wait
+	use := (w.use+j.need)/d.roomOf(w)*d.paceOf(w)/d.all.pace + w.kind.wait + d.zone(w).wait
 	if d.knows(w) {
 		use = (w.load + j.need) / w.kind.size
 	}
