--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -168,6 +168,8 @@
 		PriceWaste:     p.number("prices.waste", 0),
 		PriceLateFail:  p.number("prices.late_fail", 0),
 		PriceCross:     p.number("prices.cross_zone", 0),
+		PriceConnect:   p.number("prices.handshake", 0),
+		IdleClose:      p.time("policy_limits.idle_close", 0),
 	}
 	if z, ok := n.zones[p.text("zone", "")]; ok {
 		s.Zone = z
--- a/rules/interface.go
+++ b/rules/interface.go
@@ -95,6 +95,8 @@
 	PriceWaste    float64 // price of work that served nobody, as a share of all work
 	PriceLateFail float64 // price of worth that ended unserved after its aim
 	PriceCross    float64 // price of one crossing between zones for each request
+	PriceConnect  float64 // price of one new connection for each request
+	IdleClose     Time    // idle connections are closed after this
 }
 
 // EventKind tells events apart.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -13,7 +13,7 @@
 	scanMost   = 8                 // held jobs looked at, or draws, for one that fits: bounds that too
 	joinTick   = 10 * Millisecond  // no room for this long: further workers join the picks
 	crossWait  = 2 * Second / 10   // longer wait, times the price of a crossing, before other zones join
-	crossCost  = 15.0              // rooms that a crossing weighs, times its price
+	costWeight = 15.0              // rooms that a crossing or a new connection weighs, times its price
 	roomStart  = 2.0               // slots; every dispatcher takes this of a worker whose size nobody knows
 	roomStep   = 0.5               // slots of room for each slot of success at the room
 	roomFloor  = 1.0 / 8           // slots at the least
@@ -233,7 +233,7 @@
 // pick draws a random ready worker that may be used, of all zones the more often the longer starts wait near.
 func (d *Dispatcher) pick(j *job, near bool) *worker {
 	from := d.ready
-	if cost := crossCost * d.s.PriceCross; cost > 0 && len(d.near) > 0 &&
+	if cost := costWeight * d.s.PriceCross; cost > 0 && len(d.near) > 0 &&
 		(near || d.now < j.heldAt+d.farAfter() && math.Sqrt(d.rng.Float64())*cost >= d.zones[d.s.Zone].wait) {
 		from = d.near
 	}
@@ -281,7 +281,10 @@
 		use += w.load / w.kind.size
 	}
 	if w.Zone != d.s.Zone {
-		use += crossCost * d.s.PriceCross
+		use += costWeight * d.s.PriceCross
+	}
+	if d.now >= w.endedAt+d.s.IdleClose {
+		use += costWeight * d.s.PriceConnect // a new connection
 	}
 	return use
 }
@@ -312,12 +315,10 @@
 		return false
 	}
 	switch {
-	case j.triedAt(w) && len(d.ready) > 1: // guards against a worker that fails one job again and again
-		return false
+	case j.triedAt(w) && len(d.ready) > 1, d.now < w.capUntil && w.use+j.need > w.cap:
+		return false // the first guards against a worker that fails one job again and again
 	case w.distrust || w.silent: // guards against a black hole: a worker that errs or hangs always has room
 		return w.use == 0 && d.now >= w.trialAt && j.class.Effect != Unsafe
-	case d.now < w.capUntil && w.use+j.need > w.cap:
-		return false
 	case d.knows(w):
 		return w.load+j.need <= w.kind.size || w.load <= w.kind.size && d.now >= j.heldAt+d.farAfter()
 	}
@@ -453,8 +454,7 @@
 	if !a.queued {
 		w.kind.size = max(w.kind.size, min(a.load, w.kind.size+1))
 	}
-	z.base = min(z.base, delay)
-	z.lost -= z.lost * newWeight
+	z.base, z.lost = min(z.base, delay), z.lost*(1-newWeight)
 	wait := float64(max(0, delay-z.base-queueSlack)) / (d.meanWork * d.all.pace)
 	w.kind.wait += (wait - w.kind.wait) * newWeight
 	z.wait += (wait - z.wait) * newWeight
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1217,3 +1217,21 @@
 		t.Fatalf("%d and %d picks weighed for one job, want %d at most", a, b, picksMost)
 	}
 }
+
+func TestOpenConnectionsArePreferredWhereNewOnesCost(t *testing.T) {
+	workers := func(price float64) int {
+		s := settings()
+		s.PriceConnect, s.IdleClose = price, 10*Second
+		k := newDesk(t, s, fleet(60)...)
+		used := map[WorkerID]bool{}
+		for range 100 {
+			id, w := k.sent(safe, 20*ms)
+			used[w] = true
+			k.run(id, 5*ms)
+		}
+		return len(used)
+	}
+	if free, dear := workers(0), workers(0.03); dear >= free-5 {
+		t.Fatalf("%d workers used where a connection has a price, %d where it has none", dear, free)
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -155,6 +155,7 @@
 
 func (d *Dispatcher) freed(j *job, a *attempt) {
 	a.out = false
+	a.w.endedAt = d.now
 	a.w.use -= j.need
 	d.inUse -= j.need
 	if a.startedAt > 0 {
@@ -262,6 +263,7 @@
 	capUntil Time
 	load     float64 // slots that all dispatchers use there, by its home's word
 	loadAt   Time
+	endedAt  Time // of our last attempt there
 	askedAt  Time
 	pace     float64
 	runs     float64
