--- a/internal/simwire/wire.go
+++ b/internal/simwire/wire.go
@@ -439,7 +439,7 @@
 		return n, false
 	}
 	k, err := base64.StdEncoding.Decode(b[:], raw)
-	if err != nil || k != noteSize || b[0] > byte(rules.Use) {
+	if err != nil || k != noteSize || b[0] > byte(rules.Crowded) {
 		return n, false
 	}
 	n = rules.Note{Kind: rules.NoteKind(b[0]), Tag: uint64(binary.BigEndian.Uint32(b[1:])), Slots: float64(b[5]) / 8}
--- a/rules/interface.go
+++ b/rules/interface.go
@@ -166,9 +166,10 @@
 
 // The notes.
 const (
-	Ask  NoteKind = iota // how much of the worker is in use?
-	Load                 // Slots: so much, by all
-	Use                  // Slots: so much, by the sender
+	Ask     NoteKind = iota // how much of the worker is in use?
+	Load                    // Slots: so much, by all
+	Use                     // Slots: so much, by the sender
+	Crowded                 // the worker turned a job of the sender's away, or let it wait too long
 )
 
 // Note is a message between dispatchers on one worker.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -114,12 +114,12 @@
 	return d.s.ColdFrom + (1-d.s.ColdFrom)*float64(age)/float64(d.s.WarmWithin)
 }
 
-// coldBears is the chance by which a draw of a cold worker counts: at full load as many jobs take it as it
-// could run when warm, and so many count that hardly any window brings more than it bears.
+// coldBears is the chance by which a draw of a cold worker counts: all draw it pickCount times for each job
+// it could run when warm, and so many count that hardly any window brings more than it bears.
 func (d *Dispatcher) coldBears(w *worker) float64 {
 	full := w.kind.size * float64(d.s.FallWindow) / (d.meanWork * d.paceOf(w))
 	root := max(0, math.Sqrt(d.s.FallMultiple*d.warmth(w)*full+1)-1)
-	return root * root / full
+	return root * root / (pickCount * full)
 }
 
 // believe shrinks a hint towards the mean as far as hints told little of run times (a regression of logs).
@@ -150,8 +150,7 @@
 	return min(wait, joinTick+2*d.held[j.band].age(d.now))
 }
 
-// overShare says whether a job goes beyond its tenant's share, and must not starve others. Our part of a
-// quota is taken to be our part of all traffic, which is about what the quotas add up to.
+// overShare says whether a job goes beyond its tenant's share: our part of it is our part of all traffic.
 func (d *Dispatcher) overShare(j *job, retry bool) bool {
 	t := j.tenant
 	if t == nil || d.s.OverShareWorth >= 1 || d.quotas <= 0 {
@@ -201,8 +200,7 @@
 	}
 }
 
-// draw joins the lists of n further workers and asks for loads that no job of ours tells: by notes to homes,
-// or by probes, at first only and where starts wait so much that queues last.
+// draw joins the lists of n further workers and asks for loads that no job of ours tells: by notes or probes.
 func (d *Dispatcher) draw(j *job, n int) {
 	j.joinAt = d.now + joinTick
 	if d.s.CanTell {
@@ -215,7 +213,7 @@
 		}
 		j.addPick(w)
 		probe := d.s.CanProbe && d.s.ProbesTell && j.step == 0 && w.kind.wait+d.zone(w).wait > probeFrom
-		if w.use > 0 || d.now < w.askedAt+askLife || !d.s.CanTell && !probe {
+		if i >= pickCount || w.use > 0 || d.now < w.askedAt+askLife || !d.s.CanTell && !probe {
 			continue
 		}
 		w.askedAt = d.now
@@ -435,8 +433,7 @@
 	return true
 }
 
-// reported takes a worker's word on its load. Free slots cap its room where they come with an answer; those
-// that a probe tells are older than a run, and all would flock there. Queues last.
+// reported takes a worker's word on its load. Free slots told by probes are old: all would flock there.
 func (d *Dispatcher) reported(w *worker, e *Event) {
 	if e.Report.Known && e.Kind == Probed && !d.s.CanTell {
 		w.load, w.loadAt = max(0, e.Report.Queue), d.now
@@ -489,6 +486,9 @@
 		d.succeeded(j, a, atRoom)
 	case Full:
 		w.room, w.cutAt = max(roomFloor, min(w.room, w.use)), d.now
+		d.tellHome(w, Crowded)
+	case TimedOut: // guards against work that nobody waits for and no home counts, but that fills the worker
+		d.tellHome(w, Crowded)
 	case Unreachable:
 		z.lost += (1 - z.lost) * newWeight
 		d.suspect(w) // guards against a dead worker: it fails all and always has room
--- a/rules/state.go
+++ b/rules/state.go
@@ -129,8 +129,16 @@
 	switch {
 	case n.Kind == Use:
 		d.noteUse(peer, n)
+	case n.Kind == Crowded:
+		u := d.uses[n.Tag]
+		u.fullUntil = d.now + queueLife
+		d.uses[n.Tag] = u
 	case n.Kind == Ask && d.now >= d.bornAt+homeAfter:
-		d.tell(peer, Note{Kind: Load, Tag: n.Tag, Slots: d.uses[n.Tag].sum})
+		u := d.uses[n.Tag]
+		if d.now < u.fullUntil {
+			u.sum += crowded
+		}
+		d.tell(peer, Note{Kind: Load, Tag: n.Tag, Slots: u.sum})
 	case n.Kind == Load && w != nil:
 		w.load, w.loadAt = n.Slots, d.now
 		if peer != d.s.Ordinal {
@@ -200,8 +208,9 @@
 
 // homeUse is what dispatchers have told to use of a worker whose home we are.
 type homeUse struct {
-	sum   float64
-	peers []peerUse
+	sum       float64
+	fullUntil Time
+	peers     []peerUse
 }
 
 type peerUse struct {
@@ -210,6 +219,9 @@
 	at    Time
 }
 
+// crowded is added to the use of a worker that turned a job away or let one wait past its client's time, in slots.
+const crowded = 16.0
+
 // noteLife is how long a word on use counts that is not renewed: the word that it ended may have got lost.
 const noteLife = 10 * Second
 
