--- a/rules/rules.go
+++ b/rules/rules.go
@@ -211,16 +211,14 @@
 		if w == nil || j.picked(w) {
 			continue
 		}
-		j.addPick(w)
 		probe := d.s.CanProbe && d.s.ProbesTell && j.step == 0 && w.kind.wait+d.zone(w).wait > probeFrom
-		if i >= pickCount || w.use > 0 || d.now < w.askedAt+askLife || !d.s.CanTell && !probe {
-			continue
+		ask := w.use == 0 && d.now >= w.askedAt+askLife && (d.s.CanTell || probe)
+		if ask && i >= scanMost {
+			continue // notes are bounded, and no worker is used blindly that others may crowd
 		}
-		w.askedAt = d.now
-		if d.s.CanTell {
-			d.tellHome(w, Ask)
-		} else {
-			d.emit(Action{Kind: Probe, Worker: w.ID})
+		j.addPick(w)
+		if ask {
+			d.askLoad(w)
 		}
 	}
 }
--- a/rules/state.go
+++ b/rules/state.go
@@ -182,6 +182,16 @@
 	}
 }
 
+// askLoad asks for a worker's load, its home or itself.
+func (d *Dispatcher) askLoad(w *worker) {
+	w.askedAt = d.now
+	if d.s.CanTell {
+		d.tellHome(w, Ask)
+	} else {
+		d.emit(Action{Kind: Probe, Worker: w.ID})
+	}
+}
+
 // tellHome asks a worker's home for its load or tells it what we use there.
 func (d *Dispatcher) tellHome(w *worker, kind NoteKind) {
 	if d.s.CanTell {
