--- a/rules/rules.go
+++ b/rules/rules.go
@@ -119,7 +119,7 @@
 func (d *Dispatcher) coldBears(w *worker) float64 {
 	full := w.kind.size * float64(d.s.FallWindow) / (d.meanWork * d.paceOf(w))
 	root := max(0, math.Sqrt(d.s.FallMultiple*d.warmth(w)*full+1)-1)
-	return root * root / (pickCount * full)
+	return root * root / full
 }
 
 // believe shrinks a hint towards the mean as far as hints told little of run times (a regression of logs).
@@ -179,6 +179,7 @@
 	d.extra = min(extraMost, d.extra+extraShare)
 	d.meanWork += (d.expect(j) - d.meanWork) * meanWeight
 	part := 1.0
+	j.drawn = retry // repeats draw no cold workers: a storm of them would push these over
 	if d.overShare(j, retry) {
 		j.band, part = behind, d.s.OverShareWorth
 	}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1235,3 +1235,49 @@
 		t.Fatalf("%d workers used where a connection has a price, %d where it has none", dear, free)
 	}
 }
+
+func TestRepeatsOfClientsDrawNoColdWorker(t *testing.T) {
+	k := newDesk(t, settings())
+	list := fleet(4)
+	for i := range list {
+		list[i].StartedAt = k.now - 15*Second // warm enough that nearly every draw counts
+	}
+	k.do(Event{Kind: ListSnapshot, Workers: list, Version: 1})
+	sends := [2]int{}
+	for i := range 40 {
+		e := Event{Kind: Arrived, Request: RequestID(i), Tenant: -1, Work: 20 * ms, Left: 5 * Second, Slots: 1, Retry: i%2 == 1}
+		sends[i%2] += count(append(k.do(e), k.wait(20*ms)...), Send)
+		if j := k.d.job(RequestID(i)); j != nil && j.out() > 0 {
+			k.run(RequestID(i), 0)
+		}
+	}
+	if sends[0] < 10 || sends[1] != 0 {
+		t.Fatalf("%d first tries and %d repeats went to cold workers", sends[0], sends[1])
+	}
+}
+
+func TestCrowdedWorkersAreToldToTheirHomes(t *testing.T) {
+	p := pair(t)
+	id, acts := p[0].land(safe, 100*ms)
+	acts = pass(p, 0, acts)
+	if len(acts) == 0 {
+		acts = pass(p, 0, p[0].wait(askLife+joinTick))
+	}
+	if count(acts, Send) != 1 {
+		t.Fatalf("got %v, want one send", acts)
+	}
+	w := acts[0].Worker
+	pass(p, 0, p[0].end(id, 0, Full))
+	ask := Note{Kind: Ask, Tag: 7 + 2*uint64(w)}
+	for _, c := range []struct {
+		after Time
+		least float64
+		most  float64
+	}{{ms, crowded, 2 * crowded}, {queueLife + ms, 0, 1}} {
+		p[1].wait(c.after)
+		told := p[1].do(Event{Kind: Heard, Peer: 0, Note: ask})
+		if len(told) != 1 || told[0].Note.Slots < c.least || told[0].Note.Slots > c.most {
+			t.Errorf("%v after a full reply the home tells %v", c.after, told)
+		}
+	}
+}
