--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1244,7 +1244,7 @@
 	}
 	k.do(Event{Kind: ListSnapshot, Workers: list, Version: 1})
 	sends := [2]int{}
-	for i := range 40 {
+	for i := range 100 {
 		e := Event{Kind: Arrived, Request: RequestID(i), Tenant: -1, Work: 20 * ms, Left: 5 * Second, Slots: 1, Retry: i%2 == 1}
 		sends[i%2] += count(append(k.do(e), k.wait(20*ms)...), Send)
 		if j := k.d.job(RequestID(i)); j != nil && j.out() > 0 {
