--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -140,7 +140,6 @@
 	intern(n.kinds, kinds)
 	s := rules.Settings{
 		OverShareWorth: p.number("over_share_worth", 1),
-		WorthByWork:    p.text("worth_by", "") == "work",
 		Zones:          len(zones),
 		Kinds:          len(kinds),
 		Zone:           -1,
--- a/rules/interface.go
+++ b/rules/interface.go
@@ -65,7 +65,6 @@
 	Classes        []Class
 	Tenants        []Tenant // may be empty
 	OverShareWorth float64  // share of the worth that is left beyond a tenant's quota
-	WorthByWork    bool     // worth is counted for each unit of work, not for each request
 	Zones, Kinds   int      // how many there are
 	Zone           int      // where this dispatcher is, or -1
 	GroupSize      int      // dispatchers in the group, this one included
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -10,7 +10,7 @@
 	pickCount  = 2                 // held lists that a job joins at its landing: the paper's d
 	joinCount  = 24                // lists that it joins each time it has found no room
 	picksMost  = 64                // picks weighed for one job: bounds the work of an event
-	scanMost   = 8                 // held jobs looked at, or draws, for one that fits: bounds that too
+	scanMost   = 8                 // held jobs looked at for one that fits, draws for a pick, loads asked for
 	joinTick   = 10 * Millisecond  // no room for this long: further workers join the picks
 	crossWait  = 2 * Second / 10   // longer wait, times the price of a crossing, before other zones join
 	costWeight = 15.0              // rooms that a crossing or a new connection weighs, times its price
@@ -40,7 +40,7 @@
 	shedUp     = 0.3               // harder refusing for each job that a queue makes start too late ...
 	shedDown   = 0.1               // ... and less for each other start: a quarter may be late
 	shedFade   = 5 * Second        // refusing fades by itself over this: who refuses all sees no start
-	shedSkew   = 3.0               // how much rather landings that earn less are refused
+	shedSkew   = 3.0               // how much rather landings beyond a tenant's share are refused
 	usualOver  = 5.0               // seconds of an equal part of all traffic that weigh against our landings
 	shareLeast = 3.0               // requests that a tenant may send at once, or a second of its share
 	askAgain   = 200 * Millisecond // first wait before a lost list is asked for again: doubles
@@ -114,8 +114,8 @@
 	return d.s.ColdFrom + (1-d.s.ColdFrom)*float64(age)/float64(d.s.WarmWithin)
 }
 
-// coldBears is the chance by which a draw of a cold worker counts: all draw it pickCount times for each job
-// it could run when warm, and so many count that hardly any window brings more than it bears.
+// coldBears is the chance by which a draw of a cold worker counts: at full load as many jobs take it as it
+// could run when warm, and so many draws count that hardly any window brings more than it bears.
 func (d *Dispatcher) coldBears(w *worker) float64 {
 	full := w.kind.size * float64(d.s.FallWindow) / (d.meanWork * d.paceOf(w))
 	root := max(0, math.Sqrt(d.s.FallMultiple*d.warmth(w)*full+1)-1)
--- a/rules/state.go
+++ b/rules/state.go
@@ -18,7 +18,7 @@
 // The bands of held work.
 const (
 	onTime = iota // can still earn its full worth
-	behind        // late, or beyond its tenant's share: waits behind all of the above
+	behind        // beyond its tenant's share: waits behind all of the above
 	bands
 )
 
@@ -257,7 +257,7 @@
 
 // kindState is what workers of one kind have shown, or all workers together.
 type kindState struct {
-	size float64 // most slots that ran at once, or were told free
+	size float64 // most slots known to have run at once
 	pace float64
 	wait float64 // mean wait for a start, in usual runs
 }
@@ -280,10 +280,9 @@
 	use      float64 // our slots in flight
 	running  float64 // our slots that have started
 	lists    [bands]queue
-	openAt   Time    // end of a pause
 	cap      float64 // slots, by the last report
 	capUntil Time
-	load     float64 // slots that all dispatchers use there, by its home's word
+	load     float64 // slots used there, by its home's word, or waiting there, by a probe
 	loadAt   Time
 	endedAt  Time // of our last attempt there
 	askedAt  Time
@@ -293,7 +292,6 @@
 	outcomes float64
 	distrust bool
 	silent   bool
-	lost     bool // silent because no connection came up
 	trialAt  Time
 	gap      Time // between trials
 }
@@ -416,13 +414,14 @@
 		t    Time
 	}{{"Tick", s.Tick}, {"MaxRetryAfter", s.MaxRetryAfter}, {"ConnectTimeout", s.ConnectTimeout},
 		{"Progress", s.Progress}, {"AskWithin", s.AskWithin}, {"DrainGrace", s.DrainGrace},
-		{"WarmWithin", s.WarmWithin}, {"FallWindow", s.FallWindow}} {
+		{"WarmWithin", s.WarmWithin}, {"FallWindow", s.FallWindow}, {"IdleClose", s.IdleClose}} {
 		if t.t < 0 {
 			return fmt.Errorf("%s: %d is negative", t.name, t.t)
 		}
 	}
-	if !(s.ColdFrom >= 0) || !(s.FallMultiple >= 0) || !(s.PriceCross >= 0) || !(s.OverShareWorth >= 0) {
-		return errors.New("ColdFrom, FallMultiple, PriceCross or OverShareWorth: negative")
+	if !(s.ColdFrom >= 0) || !(s.FallMultiple >= 0) || !(s.PriceCross >= 0) || !(s.PriceConnect >= 0) ||
+		!(s.OverShareWorth >= 0) {
+		return errors.New("ColdFrom, FallMultiple, PriceCross, PriceConnect or OverShareWorth: negative")
 	}
 	return nil
 }
