Read the configuration again on SIGHUP and move to its discovery without a gap

Cause: Run (internal/node/node.go) did not listen to SIGHUP, whose default ends a process. A second fault behind it: Watch.follow asked a new address for what changed since the version that another agent had told, which means nothing there.

Now: SIGHUP reads the file again. A bad one is logged, counted and changes nothing. A new address is watched beside the old one until it has told its whole list (and one that is not empty: an agent that has been told nothing must not strike all workers), then the old one is dropped. Each watch begins with the whole list, so no version is trusted across addresses. Signals are heard during a drain too. Workers, jobs and connections stay as they are.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -25,6 +25,7 @@
 
 // Config is all that a dispatcher is told at its start.
 type Config struct {
+	Path                    string // of the file, to read it again
 	Name, Listen, Discovery string
 	Seed                    uint64
 	Limits                  Limits
@@ -59,7 +60,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("reading the configuration: %w", err)
 	}
-	return Decode(raw)
+	c, err := Decode(raw)
+	if err != nil {
+		return nil, err
+	}
+	c.Path = path
+	return c, nil
 }
 
 // Decode reads a configuration.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"syscall"
@@ -53,33 +54,67 @@
 	idleMost   = 30 * time.Second
 )
 
-// Run serves until a signal ends it.
+// Run serves until a signal ends it. Signals are heard during a drain too.
 func Run(c *Config, log *logrus.Logger) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	signals := make(chan os.Signal, 16)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	defer signal.Stop(signals)
 	limit(c.Limits)
 	n, err := start(c, log)
 	if err != nil {
 		return err
 	}
+	var stopped chan error // set once we drain
 	for {
 		select {
 		case err := <-n.served: // nothing but stop ends the server in order
+			if stopped != nil {
+				n.served <- err // stop waits for it
+				return n.end(<-stopped)
+			}
 			n.tell("broken")
 			return fmt.Errorf("serving: %w", err)
+		case err := <-stopped:
+			return n.end(err)
 		case s := <-signals:
-			if s == syscall.SIGUSR1 {
+			switch {
+			case s == syscall.SIGUSR1:
 				n.tell("counters")
-				continue
+			case s == syscall.SIGHUP:
+				n.reload()
+			case stopped == nil:
+				stopped = make(chan error, 1)
+				go func() { stopped <- n.stop() }()
 			}
-			err := n.stop()
-			n.tell("stopped")
-			return err
 		}
 	}
 }
 
+func (n *node) end(err error) error {
+	n.tell("stopped")
+	return err
+}
+
+// reload reads the configuration again. A bad one changes nothing. Of a good one the address of discovery is taken over;
+// all that requests and connections were built on stays until the next start.
+func (n *node) reload() {
+	c, err := Load(n.config.Path)
+	if err != nil {
+		n.store.Counters.BadReloads.Add(1)
+		n.log.WithError(err).Error("the configuration was read again and is not fit to serve by: the old one stays")
+		return
+	}
+	n.store.Counters.Reloads.Add(1)
+	n.discovery.Move(c.Discovery)
+	log := n.log.WithField("discovery", c.Discovery)
+	if c.Listen != n.config.Listen || c.Name != n.config.Name || c.Limits != n.config.Limits ||
+		!reflect.DeepEqual(c.Settings, n.config.Settings) {
+		log.Warn("the configuration was read again; name, listen, limits and settings change with the next start only")
+		return
+	}
+	log.Info("the configuration was read again")
+}
+
 // limit keeps the runtime within what the platform leaves us.
 func limit(l Limits) {
 	runtime.GOMAXPROCS(max(1, int(l.Cores)))
@@ -88,16 +123,17 @@
 
 // node is a running dispatcher.
 type node struct {
-	config  *Config
-	log     logrus.FieldLogger
-	store   *store.Store
-	pool    *store.Pool
-	front   *wire.Front
-	server  *http.Server
-	served  chan error
-	address net.Addr
-	quit    context.CancelFunc // ends the watch and the ticking
-	accept  time.Duration      // acceptFor
+	config    *Config
+	log       logrus.FieldLogger
+	store     *store.Store
+	pool      *store.Pool
+	front     *wire.Front
+	discovery *wire.Discovery
+	server    *http.Server
+	served    chan error
+	address   net.Addr
+	quit      context.CancelFunc // ends the watch and the ticking
+	accept    time.Duration      // acceptFor
 }
 
 // start brings a dispatcher up. It serves when start returns.
@@ -132,7 +168,7 @@
 	}
 	ctx, quit := context.WithCancel(context.Background())
 	n.quit = quit
-	go (&wire.Watch{Address: c.Discovery, Store: n.store, Log: log}).Run(ctx)
+	n.discovery = wire.NewDiscovery(ctx, n.store, log, c.Discovery)
 	go n.tick(ctx)
 	go func() { n.served <- n.server.Serve(l) }()
 	log.WithFields(logrus.Fields{
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -154,6 +154,11 @@
 		io.WriteString(c, head+chunk(fmt.Sprintf(`{"id":%q,"state":"done","result":"r"}`, id))+"0\r\n\r\n")
 	})
 	w.discovery = listen(func(c net.Conn, r *http.Request) {
+		entry := `{"name":"w","address":"` + w.worker + `","zone":"a","type":"big","group":0,"status":"up","weight":1.0}`
+		if r.URL.Query().Get("follow") == "" {
+			io.WriteString(c, head+chunk(`{"index":41,"snapshot":true,"endpoints":[`+entry+`]}`+"\n")+"0\r\n\r\n")
+			return
+		}
 		io.WriteString(c, head+chunk(`{"index":41,"snapshot":false,"endpoints":[]}`+"\n"))
 	})
 	t.Cleanup(served.Wait)
@@ -336,6 +341,74 @@
 	}
 }
 
+// A new configuration must not cost what is open, whatever it holds, and also where it comes while we stop.
+func TestHangUpReadsTheConfigurationAgain(t *testing.T) {
+	procs, memory := runtime.GOMAXPROCS(0), debug.SetMemoryLimit(-1)
+	defer func() {
+		runtime.GOMAXPROCS(procs)
+		debug.SetMemoryLimit(memory)
+	}()
+	w, other := newWorld(t), newWorld(t)
+	path := t.TempDir() + "/config.json"
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listen := l.Addr().String()
+	l.Close()
+	write := func(discovery string) {
+		t.Helper()
+		raw := strings.Replace(config(discovery, w.worker, "5"), "127.0.0.1:0", listen, 1)
+		if discovery == "" {
+			raw = "{"
+		}
+		if err := os.WriteFile(path, []byte(raw), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(w.discovery)
+	c, err := Load(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out lines
+	log := logrus.New()
+	log.SetOutput(&out)
+	ended := make(chan error, 1)
+	go func() { ended <- Run(c, log) }()
+	signal := func(sig syscall.Signal, want string) {
+		t.Helper()
+		if err := syscall.Kill(os.Getpid(), sig); err != nil {
+			t.Fatal(err)
+		}
+		await(t, want, func() bool { return out.has(want) })
+	}
+	await(t, "it serves", func() bool { return out.has("msg=serving") })
+	answers := make(chan result, 1)
+	n := &node{address: l.Addr()}
+	go func() { answers <- ask(n, "held", "5000") }()
+	<-w.got
+	write("")
+	signal(syscall.SIGHUP, "the old one stays")
+	write(other.discovery)
+	signal(syscall.SIGHUP, "the list comes from another address now")
+	signal(syscall.SIGTERM, "msg=stopping")
+	write(w.discovery)
+	signal(syscall.SIGHUP, `read again" discovery="`+w.discovery)
+	close(w.release)
+	if a := <-answers; a.status != 200 || a.err != nil {
+		t.Errorf("the held job: %+v", a)
+	}
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"bad_reloads=1", "reloads=2", "list_moves="} {
+		if !out.has(want) {
+			t.Errorf("%s is not in the last counters", want)
+		}
+	}
+}
+
 // What cannot be finished before the platform kills us is answered all the same.
 func TestStopFailsWhatCannotBeFinished(t *testing.T) {
 	w := newWorld(t)
--- a/internal/store/counters.go
+++ b/internal/store/counters.go
@@ -30,6 +30,9 @@
 	BadNews        atomic.Int64 // malformed lines and entries from discovery
 	News           atomic.Int64
 	WatchBroke     atomic.Int64
+	ListMoves      atomic.Int64 // lists taken over from another address
+	Reloads        atomic.Int64 // configurations read again ...
+	BadReloads     atomic.Int64 // ... and those not taken, as they made no sense
 	Stalls         atomic.Int64 // times that the whole process stood still
 	Panics, Faults atomic.Int64 // of the module
 	Unspoken       atomic.Int64 // actions that sockets have no words for
@@ -64,7 +67,8 @@
 		"unwritten": &c.Unwritten, "sent": &c.Sent, "dials": &c.Dials, "reused": &c.Reused,
 		"stale_conns": &c.StaleConns, "no_descriptor": &c.NoDescriptor, "client_conns": &c.ClientConns,
 		"clients_cut": &c.ClientsCut, "bad_runner_lines": &c.BadRunnerLines, "bad_news": &c.BadNews, "news": &c.News,
-		"watch_broke": &c.WatchBroke, "panics": &c.Panics, "faults": &c.Faults, "unspoken": &c.Unspoken, "stalls": &c.Stalls,
+		"watch_broke": &c.WatchBroke, "list_moves": &c.ListMoves, "reloads": &c.Reloads, "bad_reloads": &c.BadReloads,
+		"panics": &c.Panics, "faults": &c.Faults, "unspoken": &c.Unspoken, "stalls": &c.Stalls,
 	} {
 		f[name] = v.Load()
 	}
--- a/internal/store/list.go
+++ b/internal/store/list.go
@@ -43,13 +43,6 @@
 	s.onNews = f
 }
 
-// Index is discovery's version of the list that the store has.
-func (s *Store) Index() uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.index
-}
-
 // Ready tells whether there is a worker to send to, and whether the list has been told since our start.
 func (s *Store) Ready() (some, fresh bool) {
 	s.mu.Lock()
@@ -107,7 +100,6 @@
 func (s *Store) News(l List) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.index = l.Index
 	s.news++
 	s.fresh = s.fresh || !l.Stale
 	s.Counters.News.Add(1)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -47,7 +47,6 @@
 	requests []*Request // by id; nil where the id is free
 	open     int        // requests that are owed an answer
 	workers  []workerView
-	index    uint64     // discovery's version of the list
 	news     uint64     // our own count of the list's news: what the module takes for its version
 	fresh    bool       // the list has been told since our start
 	origin   time.Time  // our start ...
