Turn bad clients away whole: two lengths, drips, silence; close on all that is bad

Causes, each checked by a raw probe in a test: - net/http drops Content-Length where Transfer-Encoding is there, so readJob (internal/wire/front.go) saw a plain chunked request, and the rest of the body was read as a next request. - turnDown kept connections: what stood behind bad requests was read as requests, and clients that stayed held descriptors. - headWait of 10 s and bodyWait of 5 s (5 s after the head) against 3 s owed. - Clients.State saw idle connections only: those that never sent a whole head are not idle to net/http, were never cut and filled the clients' part. - What came behind a request's length was left for the next read. Ruled out: CPU (0.13 s in the worst second) and memory (11 of 64 MB).

Now every connection from a client is a clientConn that sees what net/http reads. It finds the head's end by net/http's own lines, so two lengths, or more bytes than the length, give 400 and a close. A request has 2.5 s from connecting, or from its first byte on a kept connection. Where there are too many connections, one that has had its last answer goes first, then those that never had a proper answer, the longest silent first, then idle ones; never one with a request taken or unread. Bodies over 4 KiB share a budget (an eighth of the memory), taken as bytes come; a huge length is answered before it is read. Counters by kind.

Tests: twenty raw bad clients, drips, silent ones beside a taken request, budget, a fuzz of our reading of heads against net/http's. Without the checks on framing four kinds are served and the hidden request reaches the worker; without cutting, silent connections stay.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,11 +26,12 @@
 
 // How memory and descriptors are shared out.
 const (
-	memoryShare   = 0.75 // of the limit, up to which the heap may grow before it is collected at any price
-	otherSockets  = 16   // descriptors for the listener, discovery, standard streams and the runtime: 8, the rest spare
-	otherPart     = 32   // and one in so many more
-	runnerShare   = 0.4  // of the other descriptors: connections to workers; more clients than that may have to wait
-	clientReserve = 0.9  // of the clients' part; over it requests are turned away, so that their connections go
+	memoryShare   = 0.75    // of the limit, up to which the heap may grow before it is collected at any price
+	bodyShare     = 1.0 / 8 // of the limit, for bodies over 4 KiB
+	otherSockets  = 16      // descriptors for the listener, discovery, standard streams and the runtime: 8, the rest spare
+	otherPart     = 32      // and one in so many more
+	runnerShare   = 0.4     // of the other descriptors: connections to workers; more clients than that may have to wait
+	clientReserve = 0.9     // of the clients' part; over it requests are turned away, so that their connections go
 )
 
 // How we stop, counted from the signal.
@@ -46,8 +47,6 @@
 
 // Times of the service.
 const (
-	headWait   = 10 * time.Second // for a request's head
-	idleWait   = 5 * time.Minute  // for a client's next request
 	beatEvery  = 50 * time.Millisecond
 	sweepEvery = 20  // beats
 	idlePart   = 0.5 // of the time after which a worker closes an idle connection: we close it then
@@ -154,7 +153,7 @@
 	if len(c.Known.Entries) > 0 {
 		n.store.News(c.Known)
 	}
-	known := &wire.Clients{Most: clients, Counters: &n.store.Counters}
+	known := &wire.Clients{Most: clients, Hard: sockets - runners, Counters: &n.store.Counters}
 	n.front = wire.NewFront(n.store, &wire.Runners{Pool: n.pool, Counters: &n.store.Counters}, known)
 	l, err := net.Listen("tcp", c.Listen)
 	if err != nil {
@@ -162,15 +161,14 @@
 		return nil, fmt.Errorf("listening: %w", err)
 	}
 	n.address = l.Addr()
-	n.server = &http.Server{
-		Handler: n.front, ConnState: known.State, ReadHeaderTimeout: headWait, IdleTimeout: idleWait,
-		MaxHeaderBytes: 32 << 10, ErrorLog: quietLog(log),
-	}
+	n.front.Bodies.Set(int64(float64(c.Limits.MemoryMB) * (1 << 20) * bodyShare))
+	n.server = n.front.Server()
+	n.server.ErrorLog = quietLog(log)
 	ctx, quit := context.WithCancel(context.Background())
 	n.quit = quit
 	n.discovery = wire.NewDiscovery(ctx, n.store, log, c.Discovery)
 	go n.tick(ctx)
-	go func() { n.served <- n.server.Serve(l) }()
+	go func() { n.served <- n.server.Serve(known.Listen(l)) }()
 	log.WithFields(logrus.Fields{
 		"name": c.Name, "listen": n.address.String(), "known": len(c.Known.Entries), "clients_most": clients,
 		"runners_most": runners,
--- a/internal/wire/clients.go
+++ b/internal/wire/clients.go
@@ -1,100 +1,343 @@
 package wire
 
 import (
+	"context"
+	"errors"
+	"io"
 	"net"
-	"net/http"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"birchfork/internal/store"
 )
 
-const pressAgain = 5 * time.Millisecond
-
-// Clients knows the connections from clients and keeps their number. Connections are always accepted, since one that
-// waits in the kernel counts as ours: where there are too many, the longest idle one is closed.
+// Clients owns the connections from clients and keeps their number. Connections are always accepted, since one that
+// waits in the kernel counts as ours: where there are too many, one is closed that owes nothing.
 type Clients struct {
 	Most     int // connections up to which all requests are taken
+	Hard     int // connections up to which those wait that have something to say; 0: no limit
 	Counters *store.Counters
 
-	mu      sync.Mutex
-	closing bool // idle connections are closed whatever their number
-	open    int
-	idle    []net.Conn        // longest idle first
-	cut     map[net.Conn]bool // closed by us, but counted in open until the server has noticed
+	mu   sync.Mutex
+	open map[*clientConn]bool
+}
+
+// Listen makes l's connections known.
+func (c *Clients) Listen(l net.Listener) net.Listener { return &clientListener{l, c} }
+
+type clientListener struct {
+	net.Listener
+	clients *Clients
+}
+
+func (l *clientListener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.clients.add(raw), nil
 }
 
-// State follows one connection: it is the server's ConnState hook.
-func (c *Clients) State(conn net.Conn, state http.ConnState) {
+func (c *Clients) add(raw net.Conn) *clientConn {
+	conn := &clientConn{Conn: raw, clients: c, since: time.Now()}
+	if sc, ok := raw.(syscall.Conn); ok {
+		conn.raw, _ = sc.SyscallConn()
+	}
+	c.Counters.ClientConns.Add(1)
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch state {
-	case http.StateNew:
-		c.Counters.ClientConns.Add(1)
-		c.open++
-	case http.StateActive:
-		c.leaveIdle(conn)
-		delete(c.cut, conn) // a request was there first
-	case http.StateIdle:
-		c.idle = append(c.idle, conn)
-	case http.StateClosed, http.StateHijacked:
-		c.leaveIdle(conn)
-		delete(c.cut, conn)
-		c.open--
-	}
-	for len(c.idle) > 0 && (c.closing || c.open-len(c.cut) > c.Most) {
+	if c.open == nil {
+		c.open = map[*clientConn]bool{}
+	}
+	c.open[conn] = true
+	cut := c.choose(conn)
+	c.mu.Unlock()
+	for _, k := range cut {
 		c.Counters.ClientsCut.Add(1)
-		c.cutFirst()
+		k.Close() // returns when the descriptor is free
 	}
+	return conn
 }
 
-// CutIdle closes idle connections, and from now on those that become idle.
+// choose marks connections to be closed as there are too many, but for the newest. The lock is held.
+func (c *Clients) choose(newest *clientConn) (cut []*clientConn) {
+	if len(c.open) <= c.Most {
+		return nil
+	}
+	type candidate struct {
+		conn  *clientConn
+		rank  int
+		since time.Time
+	}
+	var all []candidate
+	for k := range c.open {
+		if rank, since := k.spare(); rank != needed && k != newest {
+			all = append(all, candidate{k, rank, since})
+		}
+	}
+	slices.SortFunc(all, func(a, b candidate) int {
+		if a.rank != b.rank {
+			return a.rank - b.rank
+		}
+		return a.since.Compare(b.since)
+	})
+	for _, evenSpeaking := range []bool{false, true} {
+		most := c.Most
+		if evenSpeaking {
+			most = c.Hard
+		}
+		for _, k := range all {
+			if most > 0 && len(c.open) > most && k.conn.mark(evenSpeaking) {
+				delete(c.open, k.conn)
+				cut = append(cut, k.conn)
+			}
+		}
+	}
+	return cut
+}
+
+// CutIdle closes the connections that stand idle after an answer.
 func (c *Clients) CutIdle() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.closing = true
-	for len(c.idle) > 0 {
-		c.cutFirst()
+	var cut []*clientConn
+	for k := range c.open {
+		if rank, _ := k.spare(); rank == kept && k.mark(false) {
+			delete(c.open, k)
+			cut = append(cut, k)
+		}
+	}
+	c.mu.Unlock()
+	for _, k := range cut {
+		k.Close()
 	}
 }
 
-// cutFirst makes the server close the longest idle connection. It is not closed here: the server may have read a
-// request from it already without having told, and that request would be lost. A read that is over by its deadline
-// fails only where nothing has come; what comes later is not read, which the client sees and sends again.
-func (c *Clients) cutFirst() {
-	if c.cut == nil {
-		c.cut = map[net.Conn]bool{}
-	}
-	c.cut[c.idle[0]] = true
-	c.press(c.idle[0])
-	c.idle = c.idle[1:]
+// Over tells whether there are more connections than requests can be taken from.
+func (c *Clients) Over() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open) > c.Most
+}
+
+// The order in which connections are closed where there are too many.
+const (
+	leaving = iota // has had its last answer
+	strange        // has never had a proper request answered, and time enough to send one
+	kept           // a client's that comes again
+	fresh          // has just come
+	needed         // never closed: it is owed an answer
+)
+
+// freshFor is how long a connection may take to say something before it counts as one that says nothing.
+const freshFor = 50 * time.Millisecond
+
+// clientConn is a connection from a client. It sees all that net/http reads, so it knows what net/http does not tell:
+// whether anything of a request has come, how the request was framed, and whether more came than the request.
+type clientConn struct {
+	net.Conn
+	raw     syscall.RawConn // nil: the connection has no descriptor
+	clients *Clients
+	once    sync.Once
+
+	mu        sync.Mutex
+	cut       bool // closed by us: nothing is read any more
+	since     time.Time
+	proper    bool // a proper request has been answered
+	taken     bool // a whole request has come, its answer is not begun
+	answering bool // its answer is being written; what comes now is a next request
+	last      bool // no further request is read
+
+	head  headScan
+	began bool  // something of the request has come
+	left  int64 // of its body
+	extra bool  // more has come than the request
 }
 
-// press ends a cut connection's read, again and again until the server has noticed: right after a connection has become
-// idle the server sets a deadline of its own.
-func (c *Clients) press(conn net.Conn) {
-	conn.SetReadDeadline(time.Unix(1, 0))
-	time.AfterFunc(pressAgain, func() {
+// Read reads and notes. A connection that is being closed by us gives nothing any more: marking and reading exclude each
+// other, so that no request is read from it and then lost.
+func (c *clientConn) Read(p []byte) (n int, err error) {
+	if c.raw == nil || len(p) == 0 {
+		n, err = c.Conn.Read(p)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.note(p[:n])
+		return n, err
+	}
+	outer := c.raw.Read(func(fd uintptr) bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		if c.cut[conn] {
-			c.press(conn)
+		if c.cut {
+			err = net.ErrClosed
+			return true
+		}
+		for {
+			n, err = syscall.Read(int(fd), p)
+			if !errors.Is(err, syscall.EINTR) {
+				break
+			}
 		}
+		if errors.Is(err, syscall.EAGAIN) {
+			return false
+		}
+		c.note(p[:max(n, 0)])
+		return true
 	})
+	var timeout net.Error
+	switch {
+	case errors.As(outer, &timeout) && timeout.Timeout():
+		return 0, outer
+	case outer != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: outer}
+	case err != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: err}
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
 }
 
-func (c *Clients) leaveIdle(conn net.Conn) {
-	for i, k := range c.idle {
-		if k == conn {
-			c.idle = append(c.idle[:i], c.idle[i+1:]...)
+// note follows the framing of what has been read. The lock is held.
+func (c *clientConn) note(b []byte) {
+	if len(b) == 0 {
+		return
+	}
+	if c.taken {
+		c.extra = true
+		return
+	}
+	c.began = true
+	if !c.head.done {
+		b = b[c.head.scan(b):]
+		if !c.head.done {
 			return
 		}
+		c.left = c.head.length
+	}
+	c.left -= int64(len(b))
+	if c.left < 0 && !c.head.coded {
+		c.extra = true
 	}
 }
 
-// Over tells whether there are more connections than requests can be taken from.
-func (c *Clients) Over() bool {
+// misframed tells whether the request's length was given in two ways: what another reader takes for its end may be
+// another place, behind which a request of its own is hidden.
+func (c *clientConn) misframed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.odd || c.head.coded && c.head.sized
+}
+
+// take says that a whole request has come. It returns false where more has come than that: clients send one at a time,
+// so its length was wrong.
+func (c *clientConn) take() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cut || c.extra || c.waiting() {
+		c.extra = true
+		return false
+	}
+	c.taken = true
+	return true
+}
+
+// answer says that the answer begins. It returns whether that has to be the last one on the connection.
+func (c *clientConn) answer(close bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last = close || c.extra || c.head.coded // a coded body's end is not known here, so neither is what is behind it
+	c.proper = c.proper || c.taken
+	c.taken, c.answering = false, true
+	c.began, c.left, c.head = false, 0, headScan{line: c.head.line[:0]}
+	return c.last
+}
+
+// answered says that the answer is written.
+func (c *clientConn) answered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answering, c.since = false, time.Now()
+}
+
+// spare tells when the connection may be closed, and how long it has said nothing whole.
+func (c *clientConn) spare() (rank int, since time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.taken || c.answering || c.cut:
+		return needed, c.since
+	case c.last:
+		return leaving, c.since
+	case !c.proper && time.Since(c.since) < freshFor:
+		return fresh, c.since
+	case !c.proper:
+		return strange, c.since
+	}
+	return kept, c.since
+}
+
+// mark marks the connection as closed by us, unless it is owed something or, where evenSpeaking is false, a request that
+// nobody has read yet waits on it.
+func (c *clientConn) mark(evenSpeaking bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.taken || c.answering || c.cut || !evenSpeaking && !c.last && !c.began && c.waiting() {
+		return false
+	}
+	c.cut = true
+	return true
+}
+
+// waiting tells whether bytes have come that nobody has read. The lock is held.
+func (c *clientConn) waiting() (some bool) {
+	if c.raw == nil {
+		return false
+	}
+	c.raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		some = err == nil && n > 0
+	})
+	return some
+}
+
+// CloseWrite ends what we send: net/http does so before it closes a connection whose client is still sending.
+func (c *clientConn) CloseWrite() error {
+	c.leave()
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
+// leave notes that nothing is read any more, and counts a request that has begun and is not ours to answer: net/http
+// has turned it down, or it did not come whole.
+func (c *clientConn) leave() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.open-len(c.cut) > c.Most
+	if c.began && !c.last && !c.cut {
+		c.clients.Counters.Unreadable.Add(1)
+	}
+	c.last = true
 }
+
+// Close closes the connection and forgets it, once.
+func (c *clientConn) Close() (err error) {
+	c.once.Do(func() {
+		c.leave()
+		err = c.Conn.Close()
+		c.clients.mu.Lock()
+		delete(c.clients.open, c)
+		c.clients.mu.Unlock()
+	})
+	return err
+}
+
+// connKey is where a request's context has its connection.
+type connKey struct{}
+
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+func connOf(ctx context.Context) *clientConn { return ctx.Value(connKey{}).(*clientConn) }
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -4,7 +4,6 @@
 
 import (
 	"errors"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -18,7 +17,11 @@
 // Bounds on what a client may send, and times.
 const (
 	bodyMost     = 64 << 10
+	bodyFree     = 4 << 10 // of a body that need no place: connections bound them
+	headerMost   = 8 << 10
 	idMost       = 256
+	targetMost   = 4 << 10
+	valueMost    = 1 << 10
 	deadlineMost = time.Hour
 	slotsMost    = 1 << 20
 	answerSpare  = 3 * time.Millisecond // kept for the answer's way to the client, whose time runs since it sent
@@ -27,15 +30,19 @@
 
 // What a client may take; tests shorten it.
 var (
-	writeWait = 2 * time.Second // to take its answer
-	bodyWait  = 5 * time.Second // to send a request's body
+	writeWait   = 2 * time.Second         // to take its answer
+	requestWait = 2500 * time.Millisecond // to send a request, from connecting or its first byte on, however it drips
 )
 
+// idleWait is for a client's next request.
+const idleWait = 5 * time.Minute
+
 // Front serves clients. It is an http.Handler.
 type Front struct {
 	Store   *store.Store
 	Runners *Runners
 	Clients *Clients
+	Bodies  Budget // for what bodies hold in memory
 
 	born     time.Time
 	stopping atomic.Bool
@@ -47,6 +54,14 @@
 	return &Front{Store: s, Runners: r, Clients: c, born: time.Now(), hurry: make(chan struct{})}
 }
 
+// Server returns the HTTP server that the front stands on, for connections that Clients knows.
+func (f *Front) Server() *http.Server {
+	return &http.Server{
+		Handler: f, ConnContext: withConn, ReadHeaderTimeout: requestWait, ReadTimeout: requestWait, IdleTimeout: idleWait,
+		MaxHeaderBytes: headerMost,
+	}
+}
+
 // Stop makes the front answer as before, only that no connection is kept and it is not up any more.
 func (f *Front) Stop() { f.stopping.Store(true) }
 
@@ -61,18 +76,18 @@
 }
 
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if f.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	counters := &f.Store.Counters
 	switch {
+	case connOf(r.Context()).misframed():
+		f.turnDown(w, r, &badRequest{http.StatusBadRequest, "its length is given in two ways", &counters.BadFraming})
 	case r.URL.Path == "/up" && (r.Method == http.MethodGet || r.Method == http.MethodHead):
 		status := http.StatusOK
 		if !f.Up() {
 			status = http.StatusServiceUnavailable
 		}
-		reply(w, status, nil)
+		f.reply(w, r, status, nil, false)
 	case r.Method != http.MethodPost:
-		f.turnDown(w, http.StatusMethodNotAllowed, "jobs come by POST")
+		f.turnDown(w, r, &badRequest{http.StatusMethodNotAllowed, "jobs come by POST", &counters.BadMethods})
 	default:
 		f.serveJob(w, r)
 	}
@@ -81,27 +96,21 @@
 // serveJob is the life of one request, from its body to its release.
 func (f *Front) serveJob(w http.ResponseWriter, r *http.Request) {
 	came := time.Now()
-	job, c, status, err := readJob(w, r)
+	job, c, err := f.readJob(w, r)
 	if err != nil {
-		f.turnDown(w, status, err.Error())
+		f.turnDown(w, r, err)
 		return
 	}
+	defer c.release()
 	end := came.Add(job.Left - answerSpare)
 	job.Left = time.Until(end)
 	if f.Clients.Over() {
-		f.turnAway(w)
+		f.turnDown(w, r, errNoPlace)
 		return
 	}
 	req, err := f.Store.Open(job)
-	switch {
-	case errors.Is(err, store.ErrMany):
-		f.turnAway(w)
-		return
-	case errors.Is(err, store.ErrClass):
-		f.turnDown(w, http.StatusNotFound, err.Error())
-		return
-	case err != nil:
-		f.turnDown(w, http.StatusBadRequest, err.Error())
+	if err != nil {
+		f.turnDown(w, r, err)
 		return
 	}
 	defer req.Leave()
@@ -121,47 +130,75 @@
 		}
 		switch o.Kind {
 		case store.SendOut:
-			go f.Runners.attempt(o.Attempt, c)
+			c.hold()
+			go func() {
+				defer c.release()
+				f.Runners.attempt(o.Attempt, c)
+			}()
 			continue
 		case store.Served:
-			f.answer(w, http.StatusOK, o.Result)
+			f.answer(w, r, http.StatusOK, o.Result)
 		case store.Refused:
 			if o.RetryAfter > 0 {
 				w.Header().Set("Retry-After", strconv.FormatFloat(o.RetryAfter.Seconds(), 'f', 3, 64))
 			}
-			f.answer(w, http.StatusServiceUnavailable, []byte("refused\n"))
+			f.answer(w, r, http.StatusServiceUnavailable, []byte("refused\n"))
 		case store.GivenUp:
-			f.answer(w, http.StatusInternalServerError, []byte("failed\n"))
+			f.answer(w, r, http.StatusInternalServerError, []byte("failed\n"))
 		}
 		return
 	}
 }
 
 // answer writes a final answer.
-func (f *Front) answer(w http.ResponseWriter, status int, body []byte) {
-	if f.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
-	if reply(w, status, body) != nil {
+func (f *Front) answer(w http.ResponseWriter, r *http.Request, status int, body []byte) {
+	if f.reply(w, r, status, body, false) != nil {
 		f.Store.Counters.Unwritten.Add(1)
 	}
 }
 
-// turnDown answers what is no proper request.
-func (f *Front) turnDown(w http.ResponseWriter, status int, why string) {
-	f.Store.Counters.BadRequests.Add(1)
-	reply(w, status, []byte(why+"\n"))
+// badRequest says what is wrong with a request, and where that is counted.
+type badRequest struct {
+	status int
+	why    string
+	count  *atomic.Int64
 }
 
-// turnAway refuses a request that a limit leaves no place for. It has not reached the module, so it never ran.
-func (f *Front) turnAway(w http.ResponseWriter) {
-	f.Store.Counters.TurnedAway.Add(1)
-	w.Header().Set("Connection", "close")
-	reply(w, http.StatusServiceUnavailable, []byte("no place left\n"))
+func (b *badRequest) Error() string { return b.why }
+
+// errNoPlace refuses a request that a limit leaves no place for.
+var errNoPlace = errors.New("no place left")
+
+// turnDown answers what does not reach the module: it never ran. The connection is closed, as what is behind a request
+// that cannot be read is no next request, and nobody asks again at once on the same one.
+func (f *Front) turnDown(w http.ResponseWriter, r *http.Request, err error) {
+	c := &f.Store.Counters
+	var bad *badRequest
+	switch {
+	case errors.As(err, &bad):
+	case errors.Is(err, errNoPlace), errors.Is(err, store.ErrMany):
+		c.TurnedAway.Add(1)
+		f.reply(w, r, http.StatusServiceUnavailable, []byte("no place left\n"), true)
+		return
+	case errors.Is(err, store.ErrClass):
+		bad = &badRequest{http.StatusNotFound, err.Error(), &c.BadClasses}
+	case errors.Is(err, store.ErrTwice):
+		bad = &badRequest{http.StatusBadRequest, err.Error(), &c.BadIDs}
+	default:
+		bad = &badRequest{http.StatusBadRequest, err.Error(), &c.BadHeads}
+	}
+	c.BadRequests.Add(1)
+	bad.count.Add(1)
+	f.reply(w, r, bad.status, []byte(bad.why+"\n"), true)
 }
 
 // reply writes an answer. A client that does not take it holds its connection for a bounded time only.
-func reply(w http.ResponseWriter, status int, body []byte) error {
+func (f *Front) reply(w http.ResponseWriter, r *http.Request, status int, body []byte, last bool) error {
+	conn := connOf(r.Context())
+	if conn.answer(last || f.stopping.Load()) {
+		w.Header().Set("Connection", "close")
+	}
+	defer conn.answered()
 	control := http.NewResponseController(w)
 	control.SetWriteDeadline(time.Now().Add(writeWait))
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -172,33 +209,50 @@
 	return control.Flush() // else what goes wrong with a short answer would show after our return
 }
 
-// readJob reads a whole request and decodes it. Where it is none, status is the answer.
-func readJob(w http.ResponseWriter, r *http.Request) (job store.Job, c *call, status int, err error) {
+// readJob reads a whole request and decodes it. The call that it returns is to be released.
+func (f *Front) readJob(w http.ResponseWriter, r *http.Request) (job store.Job, c *call, err error) {
+	counters := &f.Store.Counters
 	job, err = readHead(r)
 	if err != nil {
-		return job, nil, http.StatusBadRequest, err
-	}
-	// net/http takes this deadline back once the body has come, and that of the answer before the next request.
-	http.NewResponseController(w).SetReadDeadline(time.Now().Add(min(job.Left, bodyWait)))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMost))
-	var long *http.MaxBytesError
-	switch {
-	case errors.As(err, &long):
-		return job, nil, http.StatusRequestEntityTooLarge, errors.New("the body is over 64 KiB")
-	case err != nil:
-		return job, nil, http.StatusBadRequest, errors.New("the body did not come whole")
+		return job, nil, err
 	}
 	target := r.RequestURI
 	if !strings.HasPrefix(target, "/") {
 		target = r.URL.RequestURI()
 	}
-	c = &call{method: r.Method, target: target, id: job.ID, body: body}
+	if !plain(target, targetMost) {
+		return job, nil, errors.New("the path is no plain word of 4096 characters at most")
+	}
+	c = &call{method: r.Method, target: target, id: job.ID, budget: &f.Bodies}
 	for _, name := range []string{"Content-Type", "X-Class", "X-Tenant", "X-Key"} {
 		if v := r.Header.Get(name); v != "" {
+			if !plain(strings.ReplaceAll(v, " ", "_"), valueMost) {
+				return job, nil, errors.New(name + ": it is no plain text of 1024 characters at most")
+			}
 			c.headers = append(append(append(append(c.headers, name...), ": "...), v...), "\r\n"...)
 		}
 	}
-	return job, c, 0, nil
+	c.hold()
+	if err := c.readBody(r); err != nil {
+		c.release()
+		switch {
+		case errors.Is(err, errLongBody):
+			err = &badRequest{http.StatusRequestEntityTooLarge, err.Error(), &counters.BadSizes}
+		case !errors.Is(err, errNoPlace):
+			err = &badRequest{http.StatusBadRequest, "the body did not come whole", &counters.BadBodies}
+		}
+		return job, nil, err
+	}
+	if !connOf(r.Context()).take() {
+		c.release()
+		return job, nil, &badRequest{http.StatusBadRequest, "more came than its length", &counters.BadFraming}
+	}
+	return job, c, nil
+}
+
+// plain tells whether a text is safe to hand on in a head: a worker ends the connection on what it cannot read.
+func plain(v string, most int) bool {
+	return len(v) <= most && !strings.ContainsFunc(v, func(c rune) bool { return c <= ' ' || c > '~' })
 }
 
 // readHead decodes a request's head.
@@ -219,7 +273,7 @@
 	if err != nil {
 		return job, err
 	}
-	if len(job.ID) > idMost || strings.ContainsFunc(job.ID, func(c rune) bool { return c <= ' ' || c > '~' }) {
+	if !plain(job.ID, idMost) {
 		return job, errors.New("X-Request-Id: it is no plain word of 256 characters at most")
 	}
 	if first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/"); first != job.Class {
--- a/internal/wire/runner.go
+++ b/internal/wire/runner.go
@@ -26,14 +26,6 @@
 	silentFrom = 500 * time.Millisecond // without a head for so long: the connection may lead nowhere any more
 )
 
-// call is what goes to a worker for one request, the same in all its attempts.
-type call struct {
-	method, target string // as the client sent them
-	id             string
-	headers        []byte // further ones that go on, each with its line end
-	body           []byte
-}
-
 // appendTo writes the request as it goes out. left tells the worker how long the answer is waited for.
 func (c *call) appendTo(b []byte, host string, left time.Duration) []byte {
 	b = append(append(append(append(b, c.method...), ' '), c.target...), " HTTP/1.1\r\nHost: "...)
