Serve on while draining: clients keep their connections for nearly half the time

The log shows why: the second is told to stop 3.0 s after the first, which is back 4.4 s after its own signal. stop (internal/node/node.go) closed connections from the signal on and idle ones after 0.5 s, so for a second nobody served, though clients may use what stays open. Ruled out: lists (moved at once), refusals (none), descriptors, CPU.

Now all is taken as before for 0.45 of the grace (1.55 s of 3.45 s; 0.6 s at the least), only that /up says no. Then idle connections go and every answer closes its own. Jobs taken last have 1.9 s left.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,13 +36,13 @@
 
 // How we stop, counted from the signal.
 const (
-	acceptFor   = 500 * time.Millisecond  // clients go on coming: idle connections are left open, and all is taken
-	acceptLeast = 600 * time.Millisecond  // the listener stays open at least so long: a client whose idle ...
-	lingerFor   = 1000 * time.Millisecond // ... connection we closed comes once more; this, where there is time
-	graceMost   = 3 * time.Second         // the platform kills no sooner than the longest deadline, or this ...
-	graceSpare  = 700 * time.Millisecond  // ... and so much more
-	stopSpare   = 250 * time.Millisecond  // we answer the last request so much sooner
-	closeWithin = 100 * time.Millisecond  // for the last answers to be written
+	acceptLeast = 600 * time.Millisecond // new clients go on coming, and those that we have go on asking
+	acceptPart  = 0.45                   // of the time that is left, in which all is taken as before: see stop
+	lingerFor   = 500 * time.Millisecond // then the listener stays open: a client whose connection we closed comes again
+	graceMost   = 3 * time.Second        // the platform kills no sooner than the longest deadline, or this ...
+	graceSpare  = 700 * time.Millisecond // ... and so much more
+	stopSpare   = 250 * time.Millisecond // we answer the last request so much sooner
+	closeWithin = 100 * time.Millisecond // for the last answers to be written
 )
 
 // Times of the service.
@@ -132,12 +132,11 @@
 	served    chan error
 	address   net.Addr
 	quit      context.CancelFunc // ends the watch and the ticking
-	accept    time.Duration      // acceptFor
 }
 
 // start brings a dispatcher up. It serves when start returns.
 func start(c *Config, log logrus.FieldLogger) (*node, error) {
-	n := &node{config: c, log: log, served: make(chan error, 1), accept: acceptFor}
+	n := &node{config: c, log: log, served: make(chan error, 1)}
 	var err error
 	n.store, err = store.New(store.Options{
 		Settings: c.Settings, Names: c.Names, Seed: c.Seed, MostOpen: c.MostOpen, Log: log,
@@ -234,16 +233,26 @@
 	return min(longest, graceMost) + graceSpare - stopSpare
 }
 
-// stop drains: for a while all is taken as before, only that no connection is kept; then idle ones are closed, what is
-// held is finished, and what is not finished in time ends as failed.
+// accept is how long all is taken as before, out of the time that is left.
+func (n *node) accept(grace time.Duration) time.Duration {
+	return min(grace, max(acceptLeast, time.Duration(float64(grace)*acceptPart)))
+}
+
+// stop drains. Clients that have a connection here go on using it while it stays open, and where all dispatchers are
+// restarted one soon after the other they have no other place to go: so at first all is taken and kept as before, only
+// that we are not up any more. Then connections are closed as they fall idle, what is held is finished, and what is not
+// finished in time ends as failed.
 func (n *node) stop() error {
 	began := time.Now()
-	by := began.Add(max(n.grace(), acceptLeast))
-	n.front.Stop()
+	grace := max(n.grace(), acceptLeast)
+	by := began.Add(grace)
+	n.front.Leave()
 	n.log.WithField("open", n.store.Pending()).Info("stopping")
-	time.Sleep(n.accept)
+	time.Sleep(n.accept(grace))
+	n.front.Stop()
 	n.front.Clients.CutIdle() // new ones are taken still
-	for time.Now().Before(by) && (time.Since(began) < lingerFor || n.store.Pending() > 0) {
+	quiet := time.Now().Add(lingerFor)
+	for time.Now().Before(by) && (time.Now().Before(quiet) || n.store.Pending() > 0) {
 		time.Sleep(5 * time.Millisecond)
 	}
 	n.front.Hurry()
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -45,6 +45,7 @@
 	Bodies  Budget // for what bodies hold in memory
 
 	born     time.Time
+	leaving  atomic.Bool
 	stopping atomic.Bool
 	hurry    chan struct{} // closed when all that is open has to end
 }
@@ -62,8 +63,17 @@
 	}
 }
 
-// Stop makes the front answer as before, only that no connection is kept and it is not up any more.
-func (f *Front) Stop() { f.stopping.Store(true) }
+// Leave makes the front say that it is not up any more; it serves as before.
+func (f *Front) Leave() { f.leaving.Store(true) }
+
+// Stop makes the front keep no connection any more.
+func (f *Front) Stop() {
+	f.Leave()
+	f.stopping.Store(true)
+}
+
+// Stopping tells whether it does.
+func (f *Front) Stopping() bool { return f.stopping.Load() }
 
 // Hurry ends all that is open with a failure.
 func (f *Front) Hurry() { close(f.hurry) }
@@ -72,7 +82,7 @@
 // silent the list kept from before has to do after a while.
 func (f *Front) Up() bool {
 	some, fresh := f.Store.Ready()
-	return some && (fresh || time.Since(f.born) > freshWait) && !f.stopping.Load()
+	return some && (fresh || time.Since(f.born) > freshWait) && !f.leaving.Load()
 }
 
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
