End what a worker cannot use at once, blame no worker for it, take an id once

Seen in a trace of rude+fleet: 24 requests of bad clients came to workers and got 400. All carried the id of another's request; our module took the 400 for an error of the worker, judged it, and tried a safe one at up to six workers, again for each of the client's tries.

Lines at fault: outcome (internal/wire/runner.go) gave Failed for every status but the refusals; Open (internal/store/request.go) knew ids only while they were open. Ruled out: our own framing (every trace line had a whole, proper request) and the workers' health (they served others in the same ms).

Now a 4xx ends the request with 400 and is NotSent to the module, so neither health nor budgets move.

Tests: an id never opens a second request, the memory is bounded, a rejected request ends at once and no worker is judged.

--- a/internal/store/counters.go
+++ b/internal/store/counters.go
@@ -13,13 +13,14 @@
 	Taken                   atomic.Int64 // requests that reached the module
 	Served, Refused, Failed atomic.Int64 // final answers that the module decided on
 	Gone                    atomic.Int64 // clients that went first
-	BadRequests             atomic.Int64 // answered 4xx before the module: the sum of the next
+	BadRequests             atomic.Int64 // answered 4xx: the sum of the next
 	BadHeads                atomic.Int64 // ... headers that are missing or make no sense
 	BadFraming              atomic.Int64 // ... lengths given in two ways, or shorter than what came
 	BadSizes                atomic.Int64 // ... bodies over the limit
 	BadBodies               atomic.Int64 // ... bodies that did not come whole
 	BadClasses, BadMethods  atomic.Int64
 	BadIDs                  atomic.Int64 // ... ids that are open or were of late
+	Rejected                atomic.Int64 // ... that a worker could not use
 	Unreadable              atomic.Int64 // connections that ended within a request, by an error of net/http's or a close
 	TurnedAway              atomic.Int64 // answered 503 before the module: a limit was reached
 	Overdue                 atomic.Int64 // answered by the front, as the module had not in time or we had to stop
@@ -72,7 +73,7 @@
 		"taken": &c.Taken, "served": &c.Served, "refused": &c.Refused, "failed": &c.Failed, "gone": &c.Gone,
 		"bad_requests": &c.BadRequests, "turned_away": &c.TurnedAway, "overdue": &c.Overdue,
 		"bad_heads": &c.BadHeads, "bad_framing": &c.BadFraming, "bad_sizes": &c.BadSizes, "bad_bodies": &c.BadBodies,
-		"bad_classes": &c.BadClasses, "bad_methods": &c.BadMethods, "bad_ids": &c.BadIDs, "unreadable": &c.Unreadable,
+		"bad_classes": &c.BadClasses, "bad_methods": &c.BadMethods, "bad_ids": &c.BadIDs, "rejected": &c.Rejected, "unreadable": &c.Unreadable,
 		"unwritten": &c.Unwritten, "sent": &c.Sent, "dials": &c.Dials, "reused": &c.Reused,
 		"stale_conns": &c.StaleConns, "no_descriptor": &c.NoDescriptor, "client_conns": &c.ClientConns,
 		"clients_cut": &c.ClientsCut, "bad_runner_lines": &c.BadRunnerLines, "bad_news": &c.BadNews, "news": &c.News,
--- a/internal/store/request.go
+++ b/internal/store/request.go
@@ -24,7 +24,7 @@
 var (
 	ErrClass  = errors.New("the class is not in the settings")
 	ErrTenant = errors.New("the tenant is not in the settings")
-	ErrTwice  = errors.New("a request with this id is open")
+	ErrTwice  = errors.New("a request with this id is open, or was of late")
 	ErrMany   = errors.New("too many requests are open")
 )
 
@@ -37,6 +37,7 @@
 	Served                   // Result
 	Refused                  // RetryAfter
 	GivenUp
+	TurnedDown // a worker could not use the request: it is at fault itself
 )
 
 // Order is what is to be done next for one request.
@@ -74,10 +75,16 @@
 	if s.mostOpen > 0 && s.open >= s.mostOpen {
 		return nil, ErrMany
 	}
+	// Guards against a stranger who asks under the id of another's request: he gets neither its answer nor its attempts,
+	// and no second effect. Clients take a new id for each request.
+	if s.lately.has(j.ID) {
+		return nil, ErrTwice
+	}
 	id, err := s.names.Open([]byte(j.ID))
 	if err != nil {
 		return nil, ErrTwice
 	}
+	s.lately.add(j.ID)
 	r := &Request{s: s, id: id, until: time.Now().Add(j.Left), orders: make(chan Order, s.attempts+1)}
 	for int(id) >= len(s.requests) {
 		s.requests = append(s.requests, nil)
@@ -252,6 +259,19 @@
 	s.handle(s.now(), &e)
 }
 
+// Rejected reports that the worker cannot use the request, as it is none. It never ran, no worker is to blame, and no
+// other could use it either: the request ends here.
+func (a *Attempt) Rejected() {
+	r := a.r
+	r.s.mu.Lock()
+	defer r.s.mu.Unlock()
+	if !r.final {
+		r.orders <- Order{Kind: TurnedDown}
+		r.abandon()
+	}
+	a.ended(rules.NotSent, nil)
+}
+
 // Ended reports the attempt's outcome; answer is the worker's result where it was served. Only the first call counts.
 func (a *Attempt) Ended(result rules.Result, answer []byte) {
 	a.r.s.mu.Lock()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -46,6 +46,7 @@
 	names    *settings.Names
 	requests []*Request // by id; nil where the id is free
 	open     int        // requests that are owed an answer
+	lately   lately     // their ids, and those of requests before them
 	workers  []workerView
 	news     uint64     // our own count of the list's news: what the module takes for its version
 	fresh    bool       // the list has been told since our start
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"fmt"
 	"io"
 	"testing"
 	"testing/synctest"
@@ -191,6 +192,42 @@
 	}
 }
 
+// The id of a request that has ended does not open another: it would be a second effect, and a stranger may know it.
+func TestIDOpensOnlyOneRequest(t *testing.T) {
+	s := newStore(t, &script{})
+	s.mostOpen = 0
+	for i := range 3*latelyMost + 1 {
+		mustOpen(t, s, fmt.Sprint(i)).Leave()
+	}
+	for _, i := range []int{3 * latelyMost, 2 * latelyMost} {
+		if _, err := s.Open(one(fmt.Sprint(i))); err != ErrTwice {
+			t.Errorf("the id of %d, which has ended: %v", i, err)
+		}
+	}
+	if n := len(s.lately.newer) + len(s.lately.older); n > 2*latelyMost {
+		t.Errorf("%d ids are kept", n)
+	}
+}
+
+// What a worker cannot use is the request's own fault: it ends at once, and the module learns nothing of the worker.
+func TestRejectedRequestEndsAndBlamesNobody(t *testing.T) {
+	m := &script{on: sends}
+	s := newStore(t, m)
+	s.News(listOf(rules.Ready, "127.0.0.1:1", 0))
+	r := mustOpen(t, s, "a")
+	(<-r.Orders()).Attempt.Rejected()
+	if o := <-r.Orders(); o.Kind != TurnedDown {
+		t.Fatalf("order %+v", o)
+	}
+	r.Leave()
+	if e := m.of(rules.Ended); len(e) != 1 || e[0].Result != rules.NotSent || !e[0].Final || len(m.of(rules.ClientGone)) != 1 {
+		t.Fatalf("events %+v", m.events)
+	}
+	if s.Pending() != 0 || s.requests[r.id] != nil || s.Counters.Gone.Load() != 0 {
+		t.Fatal("the request is still kept")
+	}
+}
+
 // Attempts outlive their request; the id must not be used again while one can still name it.
 func TestIDStaysTakenWhileAnAttemptIsOut(t *testing.T) {
 	m := &script{on: sends}
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -155,6 +155,8 @@
 			f.answer(w, r, http.StatusServiceUnavailable, []byte("refused\n"))
 		case store.GivenUp:
 			f.answer(w, r, http.StatusInternalServerError, []byte("failed\n"))
+		case store.TurnedDown:
+			f.turnDown(w, r, &badRequest{http.StatusBadRequest, "a worker cannot use it", &f.Store.Counters.Rejected})
 		}
 		return
 	}
@@ -179,7 +181,7 @@
 // errNoPlace refuses a request that a limit leaves no place for.
 var errNoPlace = errors.New("no place left")
 
-// turnDown answers what does not reach the module: it never ran. The connection is closed, as what is behind a request
+// turnDown answers what never ran. The connection is closed, as what is behind a request
 // that cannot be read is no next request, and nobody asks again at once on the same one.
 func (f *Front) turnDown(w http.ResponseWriter, r *http.Request, err error) {
 	c := &f.Store.Counters
--- a/internal/wire/runner.go
+++ b/internal/wire/runner.go
@@ -116,6 +116,8 @@
 	answer []byte
 	rest   func(*store.Conn) bool
 	silent bool // nothing came back for long
+
+	rejected bool // the worker cannot use the request
 }
 
 // attempt carries one attempt out, from its connection to its end. It is the connection's one owner: the connection
@@ -148,6 +150,9 @@
 		// a new one does not come up, which tells in time that a job never ran.
 		x.Pool.Drop(a.Address())
 	}
+	if e.rejected {
+		a.Rejected()
+	}
 	a.Ended(e.result, e.answer)
 	if usable && e.rest(conn) {
 		x.Pool.Put(conn)
@@ -179,7 +184,10 @@
 	lines := bufio.NewReader(res.Body)
 	rest := func(conn *store.Conn) bool { return readRest(conn, res, lines) }
 	if res.StatusCode != http.StatusOK {
-		return ending{result: outcome(res), rest: rest}
+		// Guards against judging workers, and trying one after the other, by requests that are none: with the id of
+		// another's, say, that is open at another dispatcher.
+		rejected := res.StatusCode >= 400 && res.StatusCode < 500
+		return ending{result: outcome(res), rejected: rejected, rest: rest}
 	}
 	for {
 		line, err := readLine(lines, lineMost)
--- a/internal/wire/runner_test.go
+++ b/internal/wire/runner_test.go
@@ -63,7 +63,8 @@
 		{"504 not run", "HTTP/1.1 504 x\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", true, rules.Full, true, 0},
 		{"503 that may have run", "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n", true, rules.Failed, true, 0},
 		{"500 not run", "HTTP/1.1 500 x\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", true, rules.Failed, true, 0},
-		{"404", "HTTP/1.1 404 x\r\nContent-Length: 0\r\n\r\n", true, rules.Failed, true, 0},
+		{"400", "HTTP/1.1 400 x\r\nContent-Length: 0\r\n\r\n", true, rules.NotSent, true, 0},
+		{"404", "HTTP/1.1 404 x\r\nContent-Length: 0\r\n\r\n", true, rules.NotSent, true, 0},
 		{"closed at once", "", false, rules.Disconnected, false, 0},
 		{"half a head", "HTTP/1.1 200 OK\r\nTransf", false, rules.Disconnected, false, 1},
 		{"ended before the last line", okHead + chunk(line("ID", "started", "")) + "0\r\n\r\n", true, rules.Disconnected, false, 0},
@@ -91,7 +92,7 @@
 			if got := g.store.Counters.Outcomes[c.want].Load(); got != 1 {
 				t.Fatalf("no outcome %d: %v", c.want, g.store.Counters.Fields())
 			}
-			if (status == 200) != (c.want == rules.OK) {
+			if (status == 200) != (c.want == rules.OK) || (status == 400) != (c.want == rules.NotSent) {
 				t.Errorf("status %d", status)
 			}
 			if refused := status == 503 || status == 429; refused != (c.want == rules.Full) {
