Take work back when its client has left, where a cancel stops work

A trace of attempts: 70 ran to their end and 6 to their time-out for clients that had left, 98 of 540 worker seconds. Line at fault: close (rules/state.go), by which ClientGone left attempts out. Ruled out: clients' slow requests (all taken), health (nobody left out).

Now close takes back what is out where pulls says so, and finish needs no rule of its own for hopeless jobs. Elsewhere a cancel may stop nothing and the count of what runs would be too low, so nothing changes there. A slot counts as used until the attempt's end is told.

Test: a client leaves with one attempt out; fails without the change.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -86,9 +86,6 @@
 		a.Wait = min(d.backlog(j), d.s.MaxRetryAfter)
 	}
 	d.emit(a)
-	if d.hopeless(j) {
-		d.takeBack(j, nil) // guards against queues of work that is worth nothing any more
-	}
 	d.close(j)
 }
 
@@ -362,7 +359,8 @@
 	return j.class.LateWorth <= 0 && d.pulls() && j.out() > 0 && !j.running()
 }
 
-// pulls says whether waiting attempts are taken back: where waste is cheap, as a cancel may stop nothing.
+// pulls says whether attempts that wait, or have no answer owed, are taken back: where waste is cheap, as a
+// cancel may stop nothing. Guards against workers that are full of work that is worth nothing any more.
 func (d *Dispatcher) pulls() bool {
 	return d.s.CanCancel && d.s.TellsStart && d.s.SecondCopies && d.s.PriceWaste <= cheapWaste
 }
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1016,6 +1016,29 @@
 }
 
 // A job that waits in a queue and is worth nothing any more is taken out of it, so that the queue does not last.
+// A worker must not go on for a client that has left; the slot is in use until the attempt's end is told.
+func TestWorkForAClientThatLeftIsTakenBack(t *testing.T) {
+	for _, class := range []int{safe, unsafe} {
+		k := newDesk(t, racing(), fleet(3)...)
+		id, w := k.sent(class, 100*ms)
+		k.start(id, 0)
+		want(t, k.do(Event{Kind: ClientGone, Request: id}), Cancel)
+		if k.d.worker(w).use != 1 {
+			t.Errorf("class %d: the slot counts as free before the attempt has ended", class)
+		}
+		want(t, k.do(Event{Kind: ClientGone, Request: id}))
+		want(t, k.end(id, 0, Cancelled))
+		if k.d.worker(w).use != 0 || k.d.job(id) != nil || k.d.worker(w).fails != 0 {
+			t.Errorf("class %d: something is left of the job", class)
+		}
+	}
+	s := racing()
+	s.PriceWaste = 0.2 // a cancel may stop nothing, and the count of what runs would be too low
+	k := newDesk(t, s, fleet(3)...)
+	id, _ := k.sent(safe, 100*ms)
+	want(t, k.do(Event{Kind: ClientGone, Request: id}))
+}
+
 func TestHopelessQueueIsLeft(t *testing.T) {
 	k := newDesk(t, racing(), fleet(1)...)
 	k.sent(unsafe, 100*ms)
--- a/rules/state.go
+++ b/rules/state.go
@@ -529,10 +529,13 @@
 	}
 }
 
-// close ends a job that owes no answer any more. Its attempts that are out still hold their slots; after the last it
-// is forgotten.
+// close ends a job that owes no answer any more. Its attempts that are out still hold their slots, until the end of
+// each is told; after the last it is forgotten.
 func (d *Dispatcher) close(j *job) {
 	d.unhold(j)
+	if d.pulls() {
+		d.takeBack(j, nil)
+	}
 	j.open = false
 	if j.out() == 0 {
 		d.jobs[j.id] = nil
