--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,12 +26,13 @@
 
 // How memory and descriptors are shared out.
 const (
-	memoryShare   = 0.75    // of the limit, up to which the heap may grow before it is collected at any price
-	bodyShare     = 1.0 / 8 // of the limit, for bodies over 4 KiB
-	otherSockets  = 16      // descriptors for the listener, discovery, standard streams and the runtime: 8, the rest spare
-	otherPart     = 32      // and one in so many more
-	runnerShare   = 0.4     // of the other descriptors: connections to workers; more clients than that may have to wait
-	clientReserve = 0.9     // of the clients' part; over it requests are turned away, so that their connections go
+	memoryShare   = 0.75                   // of the limit, up to which the heap may grow before it is collected at any price
+	comeBack      = 200 * time.Millisecond // for those that find no place: silent clients are cut and jobs end meanwhile
+	bodyShare     = 1.0 / 8                // of the limit, for bodies over 4 KiB
+	otherSockets  = 16                     // descriptors for the listener, discovery, standard streams and the runtime: 8, the rest spare
+	otherPart     = 32                     // and one in so many more
+	runnerShare   = 0.4                    // of the other descriptors: connections to workers; more clients than that may have to wait
+	clientReserve = 0.9                    // of the clients' part; over it requests are turned away, so that their connections go
 )
 
 // How we stop, counted from the signal.
@@ -161,6 +162,9 @@
 	}
 	n.address = l.Addr()
 	n.front.Bodies.Set(int64(float64(c.Limits.MemoryMB) * (1 << 20) * bodyShare))
+	if c.Settings.RetryAfter {
+		n.front.ComeBack = min(comeBack, time.Duration(c.Settings.MaxRetryAfter)*time.Microsecond)
+	}
 	n.server = n.front.Server()
 	n.server.ErrorLog = quietLog(log)
 	ctx, quit := context.WithCancel(context.Background())
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -44,6 +44,9 @@
 	Clients *Clients
 	Bodies  Budget // for what bodies hold in memory
 
+	// ComeBack is when one may come back whom a limit has left no place; 0 where the settings allow no such advice.
+	ComeBack time.Duration
+
 	born     time.Time
 	leaving  atomic.Bool
 	stopping atomic.Bool
@@ -149,9 +152,7 @@
 		case store.Served:
 			f.answer(w, r, http.StatusOK, o.Result)
 		case store.Refused:
-			if o.RetryAfter > 0 {
-				w.Header().Set("Retry-After", strconv.FormatFloat(o.RetryAfter.Seconds(), 'f', 3, 64))
-			}
+			retryAfter(w, o.RetryAfter)
 			f.answer(w, r, http.StatusServiceUnavailable, []byte("refused\n"))
 		case store.GivenUp:
 			f.answer(w, r, http.StatusInternalServerError, []byte("failed\n"))
@@ -190,6 +191,7 @@
 	case errors.As(err, &bad):
 	case errors.Is(err, errNoPlace), errors.Is(err, store.ErrMany):
 		c.TurnedAway.Add(1)
+		retryAfter(w, f.ComeBack)
 		f.reply(w, r, http.StatusServiceUnavailable, []byte("no place left\n"), true)
 		return
 	case errors.Is(err, store.ErrClass):
@@ -204,6 +206,12 @@
 	f.reply(w, r, bad.status, []byte(bad.why+"\n"), true)
 }
 
+func retryAfter(w http.ResponseWriter, d time.Duration) {
+	if d > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(d.Seconds(), 'f', 3, 64))
+	}
+}
+
 // reply writes an answer. A client that does not take it holds its connection for a bounded time only.
 func (f *Front) reply(w http.ResponseWriter, r *http.Request, status int, body []byte, last bool) error {
 	conn := connOf(r.Context())
--- a/internal/wire/front_test.go
+++ b/internal/wire/front_test.go
@@ -413,9 +413,16 @@
 	g.mostClients(1)
 	raw(t, g, rawHead+"Content-Length: 0\r\n\r\n")
 	until(t, "the first is open", func() bool { return g.store.Pending() == 1 })
-	status, _, head := do(t, request(t, g.url, "search", "b", ""))
-	if status != 503 || head.Get("Connection") != "close" && g.store.Counters.TurnedAway.Load() != 1 {
-		t.Fatalf("status %d, %v", status, head)
+	for want, allowed := range map[string]time.Duration{"": 0, "0.200": 200 * time.Millisecond} {
+		g.front.ComeBack = allowed
+		n := g.store.Counters.TurnedAway.Load()
+		status, _, head := do(t, request(t, g.url, "search", "b"+want, ""))
+		if status != 503 || g.store.Counters.TurnedAway.Load() != n+1 {
+			t.Fatalf("status %d, %v", status, head)
+		}
+		if got := head.Get("Retry-After"); got != want {
+			t.Errorf("Retry-After %q, want %q", got, want)
+		}
 	}
 	close(release)
 	g.settled(t)
@@ -481,6 +488,37 @@
 	}
 }
 
+// A client that sends 60 MB at full speed is answered before it is through, and the answer survives the reset that its
+// bytes meet; chunked it is the same.
+func TestHugeBodyIsAnsweredEarly(t *testing.T) {
+	g := newRig(t, "", 0)
+	for i, framing := range []string{"Content-Length: 60000000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n"} {
+		c := raw(t, g, rawHead+framing)
+		c.SetDeadline(time.Now().Add(20 * time.Second))
+		block := make([]byte, 100_000)
+		if i == 1 {
+			block = append([]byte(fmt.Sprintf("%x\r\n", len(block))), append(block, "\r\n"...)...)
+		}
+		sent := 0
+		for range 600 {
+			n, err := c.Write(block)
+			if sent += n; err != nil {
+				break // cut off
+			}
+		}
+		res, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || res.StatusCode != 413 || !res.Close {
+			t.Fatalf("%s after %d bytes: %v, %+v", framing[:8], sent, err, res)
+		}
+		if sent > 50_000_000 {
+			t.Errorf("%s: all %d bytes were taken", framing[:8], sent)
+		}
+	}
+	if n := g.store.Counters.BadSizes.Load(); n != 2 {
+		t.Errorf("%d bodies were too long", n)
+	}
+}
+
 // A chunked body alone is in order. What is behind it is not read.
 func TestChunkedBodyIsProper(t *testing.T) {
 	w := runner(t, serves)
