Turn down OPTIONS * and signed deadlines like all else that is no job

A raw probe on the connection's side: net/http answers OPTIONS * by itself with 200 and keeps the connection, so a bad client was neither answered with an error nor cut within its 3 s. Its own handler is off now; the front turns it down with 405 and closes. A deadline with a sign passed for a number. Tests: both, and an unknown expectation (417 and a close, as it was). The first fails without the change.

--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -62,7 +62,7 @@
 func (f *Front) Server() *http.Server {
 	return &http.Server{
 		Handler: f, ConnContext: withConn, ReadHeaderTimeout: requestWait, ReadTimeout: requestWait, IdleTimeout: idleWait,
-		MaxHeaderBytes: headerMost,
+		MaxHeaderBytes: headerMost, DisableGeneralOptionsHandler: true, // else net/http answers some by itself and keeps them
 	}
 }
 
@@ -299,8 +299,8 @@
 	if first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/"); first != job.Class {
 		return job, errors.New("the path does not begin with the class")
 	}
-	n, err := strconv.ParseInt(ms, 10, 64)
-	if err != nil || n < 1 || n > deadlineMost.Milliseconds() {
+	n, err := strconv.ParseUint(ms, 10, 32)
+	if err != nil || n < 1 || n > uint64(deadlineMost.Milliseconds()) {
 		return job, errors.New("X-Deadline-Ms: it is not a number of milliseconds from 1 to an hour")
 	}
 	job.Left = time.Duration(n) * time.Millisecond
--- a/internal/wire/front_test.go
+++ b/internal/wire/front_test.go
@@ -471,6 +471,9 @@
 		{"a head without end", rawHead + strings.Repeat("X-More: "+strings.Repeat("a", 1000)+"\r\n", 40), 431, "unreadable"},
 		{"an unknown class with a request behind it", strings.ReplaceAll(rawHead, "search", "odd") + "Content-Length: 3\r\n\r\nabc" + hidden, 400, "bad_framing"},
 		{"a class with a letter that workers cannot read", strings.ReplaceAll(rawHead, "/search", "/search/\xff") + "Content-Length: 0\r\n\r\n", 400, "bad_heads"},
+		{"a question to nobody", "OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n", 405, "bad_methods"},
+		{"a deadline with a sign", strings.Replace(rawHead, "5000", "+5000", 1) + "Content-Length: 0\r\n\r\n", 400, "bad_heads"},
+		{"an expectation nobody knows", rawHead + "Expect: magic\r\nContent-Length: 0\r\n\r\n", 417, "unreadable"},
 		{"a key with such a letter", rawHead + "X-Key: \xff\r\nContent-Length: 0\r\n\r\n", 400, "bad_heads"},
 	} {
 		w := runner(t, serves)
