Share one peek and one settings decoder; plainer signals, watch and cuts

Read over the whole change once more; behaviour stays as it is.

- Pool.unused and clientConn.waiting both looked at a socket by hand: store.Peek.
- The configuration and two test set-ups each flattened and decoded JSON settings: settings.DecodeJSON.
- Both requests of a watch decoded their lines: ask does so for both.
- spare and mark repeated what keeps a connection: stays.
- Run handed the server's end back to its channel during a drain: it no longer listens there once stop does.
- Shares of the memory are worked out in one place; readJob loses a parameter that nothing used; a rejected attempt is told once, not ended again in vain.
- Tests of the node share keepLimits and runLogged; no assertion changed.

Looked at and left: the two switches on a worker's state (other words, other handling of unknown ones), set-ups of tests that only look alike, imports.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -23,6 +23,9 @@
 	Sockets  int     `json:"sockets"`
 }
 
+// memory is a share of the memory, in bytes.
+func (l Limits) memory(share float64) int64 { return int64(float64(l.MemoryMB) * (1 << 20) * share) }
+
 // Config is all that a dispatcher is told at its start.
 type Config struct {
 	Path                    string // of the file, to read it again
@@ -118,11 +121,7 @@
 	if len(raw) == 0 {
 		return errors.New("settings: they are missing")
 	}
-	p, err := settings.Flatten(raw)
-	if err != nil {
-		return err
-	}
-	s, err := settings.Decode(p, c.Names)
+	s, p, err := settings.DecodeJSON(raw, c.Names)
 	if err != nil {
 		return err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -64,18 +64,16 @@
 	if err != nil {
 		return err
 	}
+	served := n.served     // nothing but stop ends the server in order, and waits for that itself
 	var stopped chan error // set once we drain
 	for {
 		select {
-		case err := <-n.served: // nothing but stop ends the server in order
-			if stopped != nil {
-				n.served <- err // stop waits for it
-				return n.end(<-stopped)
-			}
+		case err := <-served:
 			n.tell("broken")
 			return fmt.Errorf("serving: %w", err)
 		case err := <-stopped:
-			return n.end(err)
+			n.tell("stopped")
+			return err
 		case s := <-signals:
 			switch {
 			case s == syscall.SIGUSR1:
@@ -83,18 +81,13 @@
 			case s == syscall.SIGHUP:
 				n.reload()
 			case stopped == nil:
-				stopped = make(chan error, 1)
+				served, stopped = nil, make(chan error, 1)
 				go func() { stopped <- n.stop() }()
 			}
 		}
 	}
 }
 
-func (n *node) end(err error) error {
-	n.tell("stopped")
-	return err
-}
-
 // reload reads the configuration again. A bad one changes nothing. Of a good one the address of discovery is taken over;
 // all that requests and connections were built on stays until the next start.
 func (n *node) reload() {
@@ -118,7 +111,7 @@
 // limit keeps the runtime within what the platform leaves us.
 func limit(l Limits) {
 	runtime.GOMAXPROCS(max(1, int(l.Cores)))
-	debug.SetMemoryLimit(int64(float64(l.MemoryMB) * (1 << 20) * memoryShare))
+	debug.SetMemoryLimit(l.memory(memoryShare))
 }
 
 // node is a running dispatcher.
@@ -161,7 +154,7 @@
 		return nil, fmt.Errorf("listening: %w", err)
 	}
 	n.address = l.Addr()
-	n.front.Bodies.Set(int64(float64(c.Limits.MemoryMB) * (1 << 20) * bodyShare))
+	n.front.Bodies.Set(c.Limits.memory(bodyShare))
 	if c.Settings.RetryAfter {
 		n.front.ComeBack = min(comeBack, time.Duration(c.Settings.MaxRetryAfter)*time.Microsecond)
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -90,12 +90,18 @@
 	})
 }
 
-func TestLimitsAreKept(t *testing.T) {
+// keepLimits gives the runtime its limits back after the test.
+func keepLimits(t *testing.T) {
+	t.Helper()
 	procs, memory := runtime.GOMAXPROCS(0), debug.SetMemoryLimit(-1)
-	defer func() {
+	t.Cleanup(func() {
 		runtime.GOMAXPROCS(procs)
 		debug.SetMemoryLimit(memory)
-	}()
+	})
+}
+
+func TestLimitsAreKept(t *testing.T) {
+	keepLimits(t)
 	limit(Limits{Cores: 0.5, MemoryMB: 100})
 	if n := runtime.GOMAXPROCS(0); n != 1 {
 		t.Errorf("GOMAXPROCS %d", n)
@@ -313,22 +319,23 @@
 	return strings.Contains(l.all.String(), s)
 }
 
+// runLogged runs a whole dispatcher in the background and collects its log.
+func runLogged(c *Config) (out *lines, ended chan error) {
+	out, ended = &lines{}, make(chan error, 1)
+	log := logrus.New()
+	log.SetOutput(out)
+	go func() { ended <- Run(c, log) }()
+	return out, ended
+}
+
 func TestSignalsLogCountersAndEndInOrder(t *testing.T) {
-	procs, memory := runtime.GOMAXPROCS(0), debug.SetMemoryLimit(-1)
-	defer func() {
-		runtime.GOMAXPROCS(procs)
-		debug.SetMemoryLimit(memory)
-	}()
+	keepLimits(t)
 	w := newWorld(t)
 	c, err := Decode([]byte(config(w.discovery, w.worker, "5")))
 	if err != nil {
 		t.Fatal(err)
 	}
-	var out lines
-	l := logrus.New()
-	l.SetOutput(&out)
-	ended := make(chan error, 1)
-	go func() { ended <- Run(c, l) }()
+	out, ended := runLogged(c)
 	for _, step := range []struct {
 		sig  syscall.Signal
 		want string
@@ -345,11 +352,7 @@
 
 // A new configuration must not cost what is open, whatever it holds, and also where it comes while we stop.
 func TestHangUpReadsTheConfigurationAgain(t *testing.T) {
-	procs, memory := runtime.GOMAXPROCS(0), debug.SetMemoryLimit(-1)
-	defer func() {
-		runtime.GOMAXPROCS(procs)
-		debug.SetMemoryLimit(memory)
-	}()
+	keepLimits(t)
 	w, other := newWorld(t), newWorld(t)
 	path := t.TempDir() + "/config.json"
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -373,11 +376,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var out lines
-	log := logrus.New()
-	log.SetOutput(&out)
-	ended := make(chan error, 1)
-	go func() { ended <- Run(c, log) }()
+	out, ended := runLogged(c)
 	signal := func(sig syscall.Signal, want string) {
 		t.Helper()
 		if err := syscall.Kill(os.Getpid(), sig); err != nil {
--- a/internal/settings/json.go
+++ b/internal/settings/json.go
@@ -8,11 +8,22 @@
 	"io"
 	"strconv"
 	"strings"
+
+	"birchfork/rules"
 )
 
 // maxDepth bounds the nesting of settings.
 const maxDepth = 16
 
+// DecodeJSON reads one dispatcher's settings as nested JSON and interns their names. The pairs are those that it read.
+func DecodeJSON(raw []byte, n *Names) (s rules.Settings, p *Pairs, err error) {
+	if p, err = Flatten(raw); err != nil {
+		return s, nil, err
+	}
+	s, err = Decode(p, n)
+	return s, p, err
+}
+
 // Flatten reads settings as nested JSON and turns them into the pairs that the bench's wire would carry: paths joined
 // with dots, plain lists joined with commas, lists of objects with a count and numbered items.
 func Flatten(raw []byte) (*Pairs, error) {
--- a/internal/store/pool.go
+++ b/internal/store/pool.go
@@ -212,12 +212,19 @@
 	if err != nil {
 		return false
 	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
+	_, err = Peek(raw)
+	return errors.Is(err, syscall.EAGAIN)
+}
+
+// Peek looks at what has come on a connection and leaves it there: n is 0 at its end, and err is EAGAIN where nothing
+// has come. It does not wait, nor for another read that does.
+func Peek(raw syscall.RawConn) (n int, err error) {
+	outer := raw.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = errors.Is(err, syscall.EAGAIN)
-		return true
+		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && open
+	if outer != nil {
+		return 0, outer
+	}
+	return n, err
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -43,12 +43,8 @@
 
 func newStore(t *testing.T, m *script) *Store {
 	t.Helper()
-	p, err := settings.Flatten([]byte(basic))
-	if err != nil {
-		t.Fatal(err)
-	}
 	names := settings.NewNames()
-	set, err := settings.Decode(p, names)
+	set, _, err := settings.DecodeJSON([]byte(basic), names)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/wire/clients.go
+++ b/internal/wire/clients.go
@@ -242,10 +242,10 @@
 }
 
 // answer says that the answer begins. It returns whether that has to be the last one on the connection.
-func (c *clientConn) answer(close bool) bool {
+func (c *clientConn) answer(last bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.last = close || c.extra || c.head.coded // a coded body's end is not known here, so neither is what is behind it
+	c.last = last || c.extra || c.head.coded // a coded body's end is not known here, so neither is what is behind it
 	c.proper = c.proper || c.taken
 	c.taken, c.answering = false, true
 	c.began, c.left, c.head = false, 0, headScan{line: c.head.line[:0]}
@@ -259,12 +259,15 @@
 	c.answering, c.since = false, time.Now()
 }
 
+// stays tells that the connection must not be closed for want of room, or is already. The lock is held.
+func (c *clientConn) stays() bool { return c.taken || c.answering || c.cut }
+
 // spare tells when the connection may be closed, and how long it has said nothing whole.
 func (c *clientConn) spare() (rank int, since time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.taken || c.answering || c.cut:
+	case c.stays():
 		return needed, c.since
 	case c.last:
 		return leaving, c.since
@@ -281,7 +284,7 @@
 func (c *clientConn) mark(evenSpeaking bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.taken || c.answering || c.cut || !evenSpeaking && !c.last && !c.began && c.waiting() {
+	if c.stays() || !evenSpeaking && !c.last && !c.began && c.waiting() {
 		return false
 	}
 	c.cut = true
@@ -289,16 +292,12 @@
 }
 
 // waiting tells whether bytes have come that nobody has read. The lock is held.
-func (c *clientConn) waiting() (some bool) {
+func (c *clientConn) waiting() bool {
 	if c.raw == nil {
 		return false
 	}
-	c.raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		some = err == nil && n > 0
-	})
-	return some
+	n, err := store.Peek(c.raw)
+	return err == nil && n > 0
 }
 
 // CloseWrite ends what we send: net/http does so before it closes a connection whose client is still sending.
--- a/internal/wire/discovery.go
+++ b/internal/wire/discovery.go
@@ -192,41 +192,24 @@
 // list each time: a version that another agent has told, or the same one before it was started again, means nothing.
 func (w *watch) follow(ctx context.Context) (told bool, err error) {
 	var index uint64
-	err = w.ask(ctx, min(w.quiet, askQuiet), "/discovery/hosts", func(line []byte) error {
-		l, err := w.decode(line)
-		if err != nil {
-			return err
-		}
+	err = w.ask(ctx, min(w.quiet, askQuiet), "/discovery/hosts", func(l store.List) error {
 		l.Whole, index = true, l.Index
-		err = w.of.take(w, l)
+		err := w.of.take(w, l)
 		told = err == nil
 		return err
 	})
 	if !errors.Is(err, io.EOF) || !told {
 		return told, err
 	}
-	err = w.ask(ctx, w.quiet, "/discovery/hosts?follow=1&since="+strconv.FormatUint(index, 10), func(line []byte) error {
-		l, err := w.decode(line)
-		if err != nil {
-			return err // what it held is missed
-		}
+	err = w.ask(ctx, w.quiet, "/discovery/hosts?follow=1&since="+strconv.FormatUint(index, 10), func(l store.List) error {
 		return w.of.take(w, l)
 	})
 	return told, err
 }
 
-func (w *watch) decode(line []byte) (store.List, error) {
-	l, bad, err := DecodeList(line)
-	if err != nil {
-		bad = 1
-	}
-	w.of.Store.Counters.BadNews.Add(int64(bad))
-	return l, err
-}
-
-// ask sends one request and hands each line of the answer over, until it has been silent for quiet. It returns an error
-// in any case: io.EOF where the answer ended in order.
-func (w *watch) ask(ctx context.Context, quiet time.Duration, target string, take func(line []byte) error) error {
+// ask sends one request and hands each line of the answer over, until one cannot be read or none has come for quiet. It
+// returns an error in any case: io.EOF where the answer ended in order.
+func (w *watch) ask(ctx context.Context, quiet time.Duration, target string, take func(store.List) error) error {
 	d := net.Dialer{Timeout: watchDial, KeepAlive: -1}
 	conn, err := d.DialContext(ctx, "tcp", w.address)
 	if err != nil {
@@ -262,7 +245,13 @@
 		if len(line) == 0 {
 			continue
 		}
-		if err := take(line); err != nil {
+		l, bad, err := DecodeList(line)
+		w.of.Store.Counters.BadNews.Add(int64(bad))
+		if err != nil {
+			w.of.Store.Counters.BadNews.Add(1)
+			return err // what the line held is missed
+		}
+		if err := take(l); err != nil {
 			return err
 		}
 	}
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -109,7 +109,7 @@
 // serveJob is the life of one request, from its body to its release.
 func (f *Front) serveJob(w http.ResponseWriter, r *http.Request) {
 	came := time.Now()
-	job, c, err := f.readJob(w, r)
+	job, c, err := f.readJob(r)
 	if err != nil {
 		f.turnDown(w, r, err)
 		return
@@ -182,8 +182,8 @@
 // errNoPlace refuses a request that a limit leaves no place for.
 var errNoPlace = errors.New("no place left")
 
-// turnDown answers what never ran. The connection is closed, as what is behind a request
-// that cannot be read is no next request, and nobody asks again at once on the same one.
+// turnDown answers what never ran. The connection is closed, as what is behind a request that cannot be read is no next
+// request, and nobody asks again at once on the same one.
 func (f *Front) turnDown(w http.ResponseWriter, r *http.Request, err error) {
 	c := &f.Store.Counters
 	var bad *badRequest
@@ -230,7 +230,7 @@
 }
 
 // readJob reads a whole request and decodes it. The call that it returns is to be released.
-func (f *Front) readJob(w http.ResponseWriter, r *http.Request) (job store.Job, c *call, err error) {
+func (f *Front) readJob(r *http.Request) (job store.Job, c *call, err error) {
 	counters := &f.Store.Counters
 	job, err = readHead(r)
 	if err != nil {
--- a/internal/wire/runner.go
+++ b/internal/wire/runner.go
@@ -152,8 +152,9 @@
 	}
 	if e.rejected {
 		a.Rejected()
+	} else {
+		a.Ended(e.result, e.answer)
 	}
-	a.Ended(e.result, e.answer)
 	if usable && e.rest(conn) {
 		x.Pool.Put(conn)
 	} else {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -33,12 +33,8 @@
 
 func newStore(t testing.TB, mostOpen int) *store.Store {
 	t.Helper()
-	p, err := settings.Flatten([]byte(basic))
-	if err != nil {
-		t.Fatal(err)
-	}
 	names := settings.NewNames()
-	set, err := settings.Decode(p, names)
+	set, _, err := settings.DecodeJSON([]byte(basic), names)
 	if err != nil {
 		t.Fatal(err)
 	}
