--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -169,6 +169,7 @@
 		FallMultiple:   p.number("safety.fall_multiple", 1),
 		FallWindow:     p.time("safety.fall", 0),
 		PriceWaste:     p.number("prices.waste", 0),
+		PriceFetch:     p.number("prices.origin", 0),
 		PriceLateFail:  p.number("prices.late_fail", 0),
 		PriceCross:     p.number("prices.cross_zone", 0),
 		PriceConnect:   p.number("prices.handshake", 0),
--- a/rules/interface.go
+++ b/rules/interface.go
@@ -92,6 +92,7 @@
 	FallWindow   Time    // ... for this long falls over
 
 	PriceWaste    float64 // price of work that served nobody, as a share of all work
+	PriceFetch    float64 // price of one fetch from the store for each request
 	PriceLateFail float64 // price of worth that ended unserved after its aim
 	PriceCross    float64 // price of one crossing between zones for each request
 	PriceConnect  float64 // price of one new connection for each request
@@ -106,7 +107,7 @@
 	ListSnapshot EventKind = iota // Workers, Version, Stale: the whole list
 	ListChange                    // Workers, Version: entries that changed
 	ListLost                      // a watch broke or a call for the list failed
-	Arrived                       // Request, Class, Tenant, Work, Left, Slots, Memory, Retry, Narrow
+	Arrived                       // Request, Class, Tenant, Work, Left, Slots, Memory, Retry, Narrow, Key
 	Started                       // Request, Attempt, Worker: the job began to run
 	Progressed                    // Request, Attempt, Worker, Done
 	AnswerBegan                   // Request, Attempt, Worker: a streamed answer is on its way to the client
@@ -152,6 +153,7 @@
 	Memory float64
 	Retry  bool // the client marks it as a repeat
 	Narrow Narrow
+	Key    uint64 // what a job needs beside its slots: workers keep it for a while; 0: nothing told
 
 	Version uint64
 	Stale   bool // a copy kept from before a restart
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -387,12 +387,17 @@
 // pulls says whether attempts that wait, or have no answer owed, are taken back: where waste is cheap, as a
 // cancel may stop nothing. Guards against workers that are full of work that is worth nothing any more.
 func (d *Dispatcher) pulls() bool {
-	return d.s.CanCancel && d.s.TellsStart && d.s.SecondCopies && d.s.PriceWaste <= cheapWaste
+	return d.s.CanCancel && d.s.TellsStart && d.s.PriceWaste+d.s.PriceFetch <= cheapWaste
 }
 
 // races says whether a job waiting at a worker is entered at a second; the first start deletes the other.
 func (d *Dispatcher) races(j *job) bool {
-	return d.pulls() && j.class.Effect == Safe && !j.narrow.Single && !j.narrow.Strict
+	return d.pulls() && j.class.Effect == Safe && !j.narrow.Single && !j.narrow.Strict && d.s.SecondCopies || d.moves(j)
+}
+
+// moves says whether a job waiting at a worker is taken back first and then entered at another.
+func (d *Dispatcher) moves(j *job) bool {
+	return d.pulls() && !d.s.SecondCopies && j.class.Effect != Unsafe && !j.narrow.Strict
 }
 
 // startBy is how long after its send a job has started if nothing waits at the worker.
@@ -442,7 +447,7 @@
 	a.raced = true
 	switch {
 	case !d.races(j) || len(j.attempts) >= d.most(j) || j.running() || j.ticket != 0:
-	case j.out() == 1:
+	case j.out() == 1 && !d.moves(j):
 		d.hold(j)
 	default:
 		d.takeBack(j, a) // its end brings the next
