--- a/internal/simwire/wire.go
+++ b/internal/simwire/wire.go
@@ -332,7 +332,9 @@
 	tenant, class := f.next("billing"), f.text("kind")
 	e.Work = f.time("work")
 	e.Left = f.time("left")
-	f.next("target_key")
+	if k, ok := settings.ParseInt(f.next("target_key")); ok && k >= 0 {
+		e.Key = uint64(k) + 1 // 0 is none
+	}
 	f.flag("write")
 	f.flag("returned")
 	e.Memory = f.number("mem_needed", 0)
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -3,7 +3,10 @@
 
 package rules
 
-import "math"
+import (
+	"math"
+	"sort"
+)
 
 // Constants: value, unit, reason. docs/design.md tells how sensitive the results are to each.
 const (
@@ -24,7 +27,7 @@
 	reportLife = 200 * Millisecond // free slots told count this long: slots turn over within a run
 	queueLife  = 2 * Second        // a queue told counts this long: it lasts where many wait
 	probeFrom  = 0.2               // mean waits, in usual runs, from which a probe is worth its price
-	askLife    = 25 * Millisecond  // a pick's load is waited for this long, and a home's word counts as long
+	askLife    = 40 * Millisecond  // a pick's load is waited for this long, and a home's word counts as long
 	homeAfter  = 1 * Second        // a home that has just started has not heard of all use
 	stallSlack = 400 * Millisecond // a progress note later than this is no pause: the worker stands still
 	newWeight  = 0.2               // weight of the newest outcome, start, connect or run where few are seen
@@ -235,7 +238,7 @@
 			continue
 		}
 		probe := d.s.CanProbe && d.s.ProbesTell && j.step == 0 && w.kind.wait+d.zone(w).wait > probeFrom
-		ask := w.use == 0 && d.now >= w.askedAt+askLife && (d.s.CanTell || probe)
+		ask := (w.use == 0 || d.s.CanTell) && d.now >= w.askedAt+askLife && (d.s.CanTell || probe)
 		if ask && i >= scanMost {
 			continue // notes are bounded, and no worker is used blindly that others may crowd
 		}
@@ -252,12 +255,12 @@
 // pick draws a random ready worker that may be used, of all zones the more often the longer starts wait near.
 func (d *Dispatcher) pick(j *job, near bool) *worker {
 	from := d.ready
-	if cost := costWeight * d.s.PriceCross; cost > 0 && len(d.near) > 0 &&
+	if cost := costWeight * d.s.PriceCross; j.key == 0 && cost > 0 && len(d.near) > 0 &&
 		(near || d.now < j.heldAt+d.farAfter() && math.Sqrt(d.rng.Float64())*cost >= d.zones[d.s.Zone].wait) {
 		from = d.near
 	}
 	for range min(scanMost, len(from)) {
-		w := from[d.rng.IntN(len(from))]
+		w := d.drawn(j, from)
 		z := d.zone(w)
 		switch {
 		case (w.distrust || w.silent) && d.now < w.trialAt:
@@ -272,6 +275,31 @@
 	return nil
 }
 
+// drawn draws a worker at random; where jobs need what a worker keeps, the key's hash takes the random source's place,
+// so that all dispatchers draw the same workers for it, in the same order.
+func (d *Dispatcher) drawn(j *job, from []*worker) *worker {
+	w := from[d.rng.IntN(len(from))]
+	if j.key == 0 || d.warmth(w) < 1 {
+		return w
+	}
+	for range scanMost {
+		j.draws++
+		at := mix(j.key+j.draws<<56) >> 32
+		i := sort.Search(len(from), func(i int) bool { return mix(from[i].Tag)>>32 >= at })
+		if h := from[i%len(from)]; d.warmth(h) >= 1 {
+			return h // a key's hash would bring a cold worker more than its even part
+		}
+	}
+	return w
+}
+
+// mix spreads numbers evenly (the finalizer of splitmix64).
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
 // place sends a held job to the pick that has room and uses least of it, ties at random, once loads are told.
 func (d *Dispatcher) place(j *job) bool {
 	var best *worker
@@ -334,7 +362,7 @@
 		return false
 	}
 	switch {
-	case j.triedAt(w) && len(d.ready) > 1, d.now < w.capUntil && w.use+j.need > w.cap:
+	case j.triedAt(w) && len(d.ready) > 1, !d.knows(w) && d.now < w.capUntil && w.use+j.need > w.cap:
 		return false // the first guards against a worker that fails one job again and again
 	case w.distrust || w.silent: // guards against a black hole: a worker that errs or hangs always has room
 		return w.use == 0 && d.now >= w.trialAt && j.class.Effect != Unsafe
@@ -476,6 +504,7 @@
 		d.placeAll(w)
 	} else if e.Report.Known && e.Report.FreeSlots >= 0 {
 		w.cap, w.capUntil = w.use+e.Report.FreeSlots, d.now+reportLife
+		w.kind.size = max(w.kind.size, math.Floor(e.Report.FreeSlots))
 	}
 }
 
--- a/rules/state.go
+++ b/rules/state.go
@@ -1,6 +1,7 @@
 package rules
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math"
@@ -58,6 +59,8 @@
 	first    bool      // its picks are the first it drew
 	step     int       // of joins since it was held
 	joinAt   Time      // of the next
+	key      uint64    // 0: none
+	draws    uint64    // by the key, since it was held
 	narrow   Narrow    // what the operator allows
 	pausedTo Time      // no further attempt before
 }
@@ -153,7 +156,7 @@
 
 // knows says whether w's load has been told just now.
 func (d *Dispatcher) knows(w *worker) bool {
-	return d.s.CanTell && w.use == 0 && w.loadAt > 0 && d.now < w.loadAt+askLife
+	return d.s.CanTell && w.loadAt > 0 && d.now < w.loadAt+askLife
 }
 
 // sent and freed keep the slots in use and tell the worker's home of them.
@@ -504,7 +507,8 @@
 		j = new(job)
 	}
 	*j = job{id: e.Request, class: &d.classes[e.Class], need: max(float64(e.Slots), e.Memory, 1), hint: e.Work,
-		landed: d.now, end: d.now + e.Left - d.s.Tick, open: true, attempts: j.attempts[:0], picks: j.picks[:0], narrow: e.Narrow}
+		landed: d.now, end: d.now + e.Left - d.s.Tick, open: true, attempts: j.attempts[:0], picks: j.picks[:0], narrow: e.Narrow,
+		key: e.Key}
 	if e.Narrow.Within > 0 {
 		j.end = min(j.end, d.now+e.Narrow.Within)
 	}
@@ -581,6 +585,7 @@
 func (d *Dispatcher) enlist(j *job) {
 	d.serial++
 	j.ticket, j.heldAt, j.step, j.picks = d.serial, d.now, 0, j.picks[:0]
+	j.draws = 0
 	j.first, j.drawn = !j.drawn, true
 	d.waiting[j.band] += j.need
 	d.held[j.band].push(j)
@@ -659,6 +664,9 @@
 		}
 	}
 	d.weight /= float64(max(1, len(d.ready)))
+	for _, ring := range [][]*worker{d.ready, d.near} {
+		slices.SortStableFunc(ring, func(a, b *worker) int { return cmp.Compare(mix(a.Tag), mix(b.Tag)) })
+	}
 }
 
 func (d *Dispatcher) entry(n *Worker) {
