--- a/rules/rules.go
+++ b/rules/rules.go
@@ -27,7 +27,8 @@
 	reportLife = 200 * Millisecond // free slots told count this long: slots turn over within a run
 	queueLife  = 2 * Second        // a queue told counts this long: it lasts where many wait
 	probeFrom  = 0.2               // mean waits, in usual runs, from which a probe is worth its price
-	askLife    = 40 * Millisecond  // a pick's load is waited for this long, and a home's word counts as long
+	askLife    = 60 * Millisecond  // a pick's load is waited for this long, and a home's word counts as long
+	wordLife   = 600 * Millisecond // and counts this long: jobs run longer
 	homeAfter  = 1 * Second        // a home that has just started has not heard of all use
 	stallSlack = 400 * Millisecond // a progress note later than this is no pause: the worker stands still
 	newWeight  = 0.2               // weight of the newest outcome, start, connect or run where few are seen
@@ -322,7 +323,7 @@
 func (d *Dispatcher) usage(j *job, w *worker) float64 {
 	use := (w.use+j.need)/d.roomOf(w)*d.paceOf(w)/d.all.pace + w.kind.wait + d.zone(w).wait
 	if d.knows(w) {
-		use = (w.load + j.need) / w.kind.size
+		use = (w.load + j.need) / w.kind.size * d.paceOf(w) / d.all.pace
 	}
 	if !d.s.CanTell && w.loadAt > 0 && d.now < w.loadAt+queueLife {
 		use += w.load / w.kind.size
@@ -463,7 +464,7 @@
 		return
 	case a.raced:
 		a.late = true
-		d.press(shedUp)
+		d.press(shedUp * (1 - j.class.LateWorth))
 		return
 	case !a.queued:
 		a.queued = true
--- a/rules/state.go
+++ b/rules/state.go
@@ -156,7 +156,7 @@
 
 // knows says whether w's load has been told just now.
 func (d *Dispatcher) knows(w *worker) bool {
-	return d.s.CanTell && w.loadAt > 0 && d.now < w.loadAt+askLife
+	return d.s.CanTell && w.loadAt > 0 && d.now < w.loadAt+wordLife
 }
 
 // sent and freed keep the slots in use and tell the worker's home of them.
