--- a/rules/rules.go
+++ b/rules/rules.go
@@ -505,7 +505,7 @@
 		d.placeAll(w)
 	} else if e.Report.Known && e.Report.FreeSlots >= 0 {
 		w.cap, w.capUntil = w.use+e.Report.FreeSlots, d.now+reportLife
-		w.kind.size = max(w.kind.size, math.Floor(e.Report.FreeSlots))
+		w.kind.size, w.kind.told = max(w.kind.size, math.Floor(e.Report.FreeSlots)), true
 	}
 }
 
@@ -514,7 +514,7 @@
 	w.sign()
 	a.startedAt, a.noteAt, w.running = d.now, d.now, w.running+j.need
 	w.kind.size = max(w.kind.size, w.running)
-	if !a.queued {
+	if !a.queued && !w.kind.told {
 		w.kind.size = max(w.kind.size, min(a.load, w.kind.size+1))
 	}
 	z.base, z.lost = min(z.base, delay), z.lost*(1-newWeight)
--- a/rules/state.go
+++ b/rules/state.go
@@ -265,6 +265,7 @@
 // kindState is what workers of one kind have shown, or all workers together.
 type kindState struct {
 	size float64 // most slots known to have run at once
+	told bool    // by a report on free slots
 	pace float64
 	wait float64 // mean wait for a start, in usual runs
 }
