--- a/rules/rules.go
+++ b/rules/rules.go
@@ -286,8 +286,8 @@
 	for range scanMost {
 		j.draws++
 		at := mix(j.key+j.draws<<56) >> 32
-		i := sort.Search(len(from), func(i int) bool { return mix(from[i].Tag)>>32 >= at })
-		if h := from[i%len(from)]; d.warmth(h) >= 1 {
+		i := sort.Search(len(d.ring), func(i int) bool { return d.ring[i].at >= at })
+		if h := d.ring[i%len(d.ring)].w; d.warmth(h) >= 1 {
 			return h // a key's hash would bring a cold worker more than its even part
 		}
 	}
@@ -305,14 +305,18 @@
 func (d *Dispatcher) place(j *job) bool {
 	var best *worker
 	least := math.Inf(1)
-	for _, w := range j.picks {
+	for i, w := range j.picks {
 		if w.askedAt > w.loadAt && d.now < w.askedAt+askLife {
 			return false
 		}
 		if !d.hasRoom(j, w) {
 			continue
 		}
-		if x := d.usage(j, w); x < least || x == least && d.rng.IntN(2) == 0 {
+		x := d.usage(j, w)
+		if j.key != 0 {
+			x += 0.1 * float64(i)
+		}
+		if x < least || x == least && d.rng.IntN(2) == 0 {
 			best, least = w, x
 		}
 	}
--- a/rules/state.go
+++ b/rules/state.go
@@ -256,6 +256,14 @@
 	d.uses[n.Tag] = u
 }
 
+// point is a place of a worker on the ring of hashes. Each has several, so that their parts are about even.
+type point struct {
+	at uint64
+	w  *worker
+}
+
+const ringPoints = 16
+
 type tenantState struct {
 	Tenant
 	left float64 // requests within the share
@@ -332,6 +340,7 @@
 	zones    []zoneState
 	ready    []*worker
 	near     []*worker // the ready ones in our own zone
+	ring     []point   // of the ready ones, in order
 	weight   float64   // mean of the ready ones' listed weights
 	doubted  int       // ready workers that are distrusted
 	jobs     []*job    // by id
@@ -665,9 +674,13 @@
 		}
 	}
 	d.weight /= float64(max(1, len(d.ready)))
-	for _, ring := range [][]*worker{d.ready, d.near} {
-		slices.SortStableFunc(ring, func(a, b *worker) int { return cmp.Compare(mix(a.Tag), mix(b.Tag)) })
+	d.ring = d.ring[:0]
+	for _, w := range d.ready {
+		for i := range ringPoints {
+			d.ring = append(d.ring, point{mix(w.Tag+uint64(i)<<32) >> 32, w})
+		}
 	}
+	slices.SortStableFunc(d.ring, func(a, b point) int { return cmp.Compare(a.at, b.at) })
 }
 
 func (d *Dispatcher) entry(n *Worker) {
