--- a/rules/rules.go
+++ b/rules/rules.go
@@ -314,7 +314,7 @@
 		}
 		x := d.usage(j, w)
 		if j.key != 0 {
-			x += 0.1 * float64(i)
+			x += costWeight * d.s.PriceFetch * float64(i)
 		}
 		if x < least || x == least && d.rng.IntN(2) == 0 {
 			best, least = w, x
@@ -480,7 +480,9 @@
 	a.raced = true
 	switch {
 	case !d.races(j) || len(j.attempts) >= d.most(j) || j.running() || j.ticket != 0:
-	case j.out() == 1 && !d.moves(j):
+	case d.moves(j):
+		d.takeBack(j, nil) // its end brings the next
+	case j.out() == 1:
 		d.hold(j)
 	default:
 		d.takeBack(j, a) // its end brings the next
