--- a/rules/rules.go
+++ b/rules/rules.go
@@ -439,6 +439,9 @@
 	if d.races(j) {
 		slack = copySlack
 	}
+	if d.moves(j) {
+		slack = copySlack << (len(j.attempts) - 1) // attempts are few: they must not be gone at once
+	}
 	return 2*d.zone(w).base + slack
 }
 
