--- a/rules/rules.go
+++ b/rules/rules.go
@@ -3,10 +3,7 @@
 
 package rules
 
-import (
-	"math"
-	"sort"
-)
+import "math"
 
 // Constants: value, unit, reason. docs/design.md tells how sensitive the results are to each.
 const (
@@ -14,6 +11,7 @@
 	joinCount  = 24                // lists that it joins each time it has found no room
 	picksMost  = 64                // picks weighed for one job: bounds the work of an event
 	scanMost   = 8                 // held jobs looked at for one that fits, draws for a pick, loads asked for
+	ringScan   = 64                // points of the ring looked at for a worker that is ready and warm
 	joinTick   = 10 * Millisecond  // no room for this long: further workers join the picks
 	crossWait  = 2 * Second / 10   // longer wait, times the price of a crossing, before other zones join
 	costWeight = 15.0              // rooms that a crossing or a new connection weighs, times its price
@@ -283,24 +281,19 @@
 	if j.key == 0 || d.warmth(w) < 1 {
 		return w
 	}
-	for range scanMost {
-		j.draws++
-		at := mix(j.key+j.draws<<56) >> 32
-		i := sort.Search(len(d.ring), func(i int) bool { return d.ring[i].at >= at })
-		if h := d.ring[i%len(d.ring)].w; d.warmth(h) >= 1 {
-			return h // a key's hash would bring a cold worker more than its even part
+	j.draws++
+	after, before := d.onRing(uint32(mix(j.key + j.draws<<56)))
+	for i := range min(ringScan, len(d.ring)) {
+		if i == len(after) {
+			after = append(after[:i:i], before...)
+		}
+		if h := d.workers[after[i].w]; h.isReady() && d.warmth(h) >= 1 {
+			return h // a hash would bring a cold worker more than its even part
 		}
 	}
 	return w
 }
 
-// mix spreads numbers evenly (the finalizer of splitmix64).
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // place sends a held job to the pick that has room and uses least of it, ties at random, once loads are told.
 func (d *Dispatcher) place(j *job) bool {
 	var best *worker
--- a/rules/state.go
+++ b/rules/state.go
@@ -256,14 +256,50 @@
 	d.uses[n.Tag] = u
 }
 
-// point is a place of a worker on the ring of hashes. Each has several, so that their parts are about even.
+// point is a place of a worker on the ring of hashes, the same at every dispatcher. Each worker has several, so that
+// their parts of the ring are about even.
 type point struct {
-	at uint64
-	w  *worker
+	at uint32
+	w  WorkerID
 }
 
 const ringPoints = 16
 
+// onRing returns the points from a place on, once round. New workers join when it is asked for: a dispatcher whose jobs
+// have no keys keeps none.
+func (d *Dispatcher) onRing(at uint32) (after, before []point) {
+	if len(d.fresh) > 0 {
+		old := d.ring
+		add := make([]point, 0, len(d.fresh)*ringPoints)
+		for _, w := range d.fresh {
+			for i := range ringPoints {
+				add = append(add, point{uint32(mix(w.Tag+uint64(i)<<32)), w.ID})
+			}
+		}
+		slices.SortFunc(add, point.compare)
+		d.ring, d.fresh = make([]point, 0, len(old)+len(add)), nil
+		for len(old) > 0 && len(add) > 0 {
+			next := &old
+			if add[0].compare(old[0]) < 0 {
+				next = &add
+			}
+			d.ring, *next = append(d.ring, (*next)[0]), (*next)[1:]
+		}
+		d.ring = append(append(d.ring, old...), add...)
+	}
+	i, _ := slices.BinarySearchFunc(d.ring, at, func(p point, at uint32) int { return cmp.Compare(p.at, at) })
+	return d.ring[i:], d.ring[:i]
+}
+
+func (p point) compare(o point) int { return cmp.Or(cmp.Compare(p.at, o.at), cmp.Compare(p.w, o.w)) }
+
+// mix spreads numbers evenly (the finalizer of splitmix64).
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
 type tenantState struct {
 	Tenant
 	left float64 // requests within the share
@@ -340,7 +376,8 @@
 	zones    []zoneState
 	ready    []*worker
 	near     []*worker // the ready ones in our own zone
-	ring     []point   // of the ready ones, in order
+	ring     []point   // of all workers that were ever listed, in order
+	fresh    []*worker // whose points are not in it yet
 	weight   float64   // mean of the ready ones' listed weights
 	doubted  int       // ready workers that are distrusted
 	jobs     []*job    // by id
@@ -674,13 +711,6 @@
 		}
 	}
 	d.weight /= float64(max(1, len(d.ready)))
-	d.ring = d.ring[:0]
-	for _, w := range d.ready {
-		for i := range ringPoints {
-			d.ring = append(d.ring, point{mix(w.Tag+uint64(i)<<32) >> 32, w})
-		}
-	}
-	slices.SortStableFunc(d.ring, func(a, b point) int { return cmp.Compare(a.at, b.at) })
 }
 
 func (d *Dispatcher) entry(n *Worker) {
@@ -695,6 +725,7 @@
 		}
 		d.workers[n.ID] = w
 		d.tags[n.Tag] = w
+		d.fresh = append(d.fresh, w)
 		d.welcome(w)
 	} else if n.StartedAt > w.StartedAt {
 		d.welcome(w)
