--- a/rules/rules.go
+++ b/rules/rules.go
@@ -44,7 +44,7 @@
 	shedFade   = 5 * Second        // refusing fades by itself over this: who refuses all sees no start
 	shedSkew   = 3.0               // how much rather landings beyond a tenant's share are refused
 	usualOver  = 5.0               // seconds of an equal part of all traffic that weigh against our landings
-	shareLeast = 3.0               // requests that a tenant may send at once, or a second of its share
+	shareLeast = 12.0               // requests that a tenant may send at once, or a second of its share
 	askAgain   = 200 * Millisecond // first wait before a lost list is asked for again: doubles
 	askTimes   = 3                 // asks within AskWithin at the least while there is no answer
 )
