Read weights that move as load where no notes tell, refuse mixed shapes at start, name what has no words

Cause: a live weight was read as a size, so that who was idle looked big and all flocked there, and load was seen nowhere.

--- a/cmd/birchfork/main.go
+++ b/cmd/birchfork/main.go
@@ -76,6 +76,9 @@
 	}
 	fmt.Fprintf(out.std, "%s: good: %s on %s, %d classes, %d workers known\n",
 		c.Config, cfg.Name, cfg.Listen, len(cfg.Settings.Classes), len(cfg.Known.Entries))
+	for _, u := range cfg.Unspoken {
+		fmt.Fprintf(out.std, "%s: served without: %s\n", c.Config, u)
+	}
 	if cfg.Operator != nil {
 		fmt.Fprintf(out.std, "%s: good: %d routes\n", c.Operator, cfg.Operator.Table.Len())
 	}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -38,6 +38,7 @@
 	Names                   *settings.Names
 	MostOpen                int
 	Operator                *config.Plan // nil: the operator wishes nothing
+	Unspoken                []string     // settings that sockets have no words for yet, a line each
 	platform                config.Platform
 }
 
@@ -155,8 +156,12 @@
 		return err
 	}
 	c.MostOpen = p.Whole("policy_limits.open_cap", 0)
+	if err := checkShape(p); err != nil {
+		return err
+	}
 	// The protocol has no words yet for notes between dispatchers and for load reports, and the list comes by a watch
 	// that we hold ourselves. The module is told so, and asks for none of it.
+	c.Unspoken = unspoken(p)
 	s.CanTell, s.ProbesTell, s.ListOnRequest = false, false, false
 	c.Settings = s
 	_, err = rules.New(s, 0)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -189,6 +189,9 @@
 		"name": c.Name, "listen": n.address.String(), "known": len(c.Known.Entries), "clients_most": clients,
 		"runners_most": runners,
 	}).Info("serving")
+	for _, u := range c.Unspoken {
+		log.Warn(u)
+	}
 	return n, nil
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -28,7 +28,7 @@
 	"known":{"index":41,"snapshot":true,"endpoints":[{"name":"w","address":"` + worker + `","zone":"a","type":"big",
 		"group":0,"status":"up","weight":1.0,"since_ms":0}]},
 	"settings":{"classes":[{"name":"search","deadline":` + deadline + `,"aim":0.4,"effect":"free"}],"zones":["a"],"zone":"a",
-		"machine_types":["big"],"registry_mode":"subscribe","report":{"how":"on_probe","names":["pending"]},
+		"machine_types":["big"],"registry_mode":"subscribe","report":{"how":"inline","names":["pending"]},
 		"policy_limits":{"attempts_cap":3,"connect_timeout":0.25,"peers":true,"open_cap":70,"idle_close":4}}}`
 }
 
--- a/internal/settings/names.go
+++ b/internal/settings/names.go
@@ -109,6 +109,16 @@
 // WorkerTag is a number for a worker that is the same at every dispatcher.
 func (n *Names) WorkerTag(id rules.WorkerID) uint64 { return n.workerTags[id] }
 
+// Key is a number for what a request is about: the same at every dispatcher, and 0 for none.
+func Key(v string) uint64 {
+	if v == "" {
+		return 0
+	}
+	h := fnv.New64a()
+	h.Write([]byte(v))
+	return max(h.Sum64(), 1)
+}
+
 // Open gives a request an id.
 func (n *Names) Open(v []byte) (rules.RequestID, error) {
 	if _, ok := n.requests[string(v)]; ok {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -45,7 +45,8 @@
 	return def
 }
 
-func (p *Pairs) number(key string, def float64) float64 {
+// Number returns a number, or def where it is missing.
+func (p *Pairs) Number(key string, def float64) float64 {
 	v := p.Text(key, "")
 	if v == "" {
 		return def
@@ -65,7 +66,7 @@
 }
 
 func (p *Pairs) time(key string, def rules.Time) rules.Time {
-	return Seconds(p.number(key, float64(def)/float64(rules.Second)))
+	return Seconds(p.Number(key, float64(def)/float64(rules.Second)))
 }
 
 // Whole returns a whole number, or def where it is missing.
@@ -81,7 +82,8 @@
 	return n
 }
 
-func (p *Pairs) flag(key string, def bool) bool {
+// Flag returns a switch, or def where it is missing.
+func (p *Pairs) Flag(key string, def bool) bool {
 	switch v := p.Text(key, ""); v {
 	case "":
 		return def
@@ -143,36 +145,37 @@
 	intern(n.zones, zones)
 	intern(n.kinds, kinds)
 	s := rules.Settings{
-		OverShareWorth: p.number("over_share_worth", 1),
+		OverShareWorth: p.Number("over_share_worth", 1),
 		Zones:          len(zones),
 		Kinds:          len(kinds),
 		Zone:           -1,
 		GroupSize:      p.Whole("group_size", 1),
 		Ordinal:        p.Whole("ordinal", 0),
-		CanTell:        p.flag("policy_limits.peers", false),
+		CanTell:        p.Flag("policy_limits.peers", false),
 		Tick:           p.time("tick", rules.Millisecond),
 		MaxAttempts:    p.Whole("policy_limits.attempts_cap", 1),
-		CanCancel:      p.flag("policy_limits.cancel", false),
-		CanProbe:       p.flag("policy_limits.probes", false),
+		CanCancel:      p.Flag("policy_limits.cancel", false),
+		CanProbe:       p.Flag("policy_limits.probes", false),
 		ProbesTell:     p.Text("report.how", "off") != "off",
-		SecondCopies:   p.flag("policy_limits.second_copies", false),
-		RetryAfter:     p.flag("policy_limits.retry_after", false),
+		SecondCopies:   p.Flag("policy_limits.second_copies", false),
+		RetryAfter:     p.Flag("policy_limits.retry_after", false),
 		MaxRetryAfter:  p.time("policy_limits.max_retry_after", 0),
 		ConnectTimeout: p.time("policy_limits.connect_timeout", 0),
 		ListOnRequest:  p.choice("registry_mode", "automatic", "automatic", "subscribe") == 1,
-		TellsStart:     p.flag("extra.tells_start", false),
+		WeightsMove:    p.Text("weight_kind", "off") == "live",
+		TellsStart:     p.Flag("extra.tells_start", false),
 		Progress:       p.time("extra.progress", 0),
 		AskWithin:      p.time("safety.ask_within", 10*rules.Second),
 		DrainGrace:     p.time("safety.stop_sending_within", 0),
-		ColdFrom:       p.number("safety.cold_from", 1),
+		ColdFrom:       p.Number("safety.cold_from", 1),
 		WarmWithin:     p.time("safety.warm_within", 0),
-		FallMultiple:   p.number("safety.fall_multiple", 1),
+		FallMultiple:   p.Number("safety.fall_multiple", 1),
 		FallWindow:     p.time("safety.fall", 0),
-		PriceWaste:     p.number("prices.waste", 0),
-		PriceFetch:     p.number("prices.origin", 0),
-		PriceLateFail:  p.number("prices.late_fail", 0),
-		PriceCross:     p.number("prices.cross_zone", 0),
-		PriceConnect:   p.number("prices.handshake", 0),
+		PriceWaste:     p.Number("prices.waste", 0),
+		PriceFetch:     p.Number("prices.origin", 0),
+		PriceLateFail:  p.Number("prices.late_fail", 0),
+		PriceCross:     p.Number("prices.cross_zone", 0),
+		PriceConnect:   p.Number("prices.handshake", 0),
 		IdleClose:      p.time("policy_limits.idle_close", 0),
 	}
 	if z, ok := n.zones[p.Text("zone", "")]; ok {
@@ -183,10 +186,10 @@
 		at := "classes." + strconv.Itoa(i) + "."
 		c := rules.Class{
 			Aim:       p.time(at+"aim", 0),
-			Stretch:   p.number(at+"aim_stretch", p.item("extra.class_stretch", stretch, i, 0)),
+			Stretch:   p.Number(at+"aim_stretch", p.item("extra.class_stretch", stretch, i, 0)),
 			Deadline:  p.time(at+"deadline", 0),
-			Worth:     p.number(at+"worth", 1),
-			LateWorth: p.number(at+"late_worth", 0),
+			Worth:     p.Number(at+"worth", 1),
+			LateWorth: p.Number(at+"late_worth", 0),
 			Effect:    rules.Effect(p.choice(at+"effect", "single_shot", "free", "guarded", "single_shot")),
 			Group:     rules.Group(p.choice(at+"group", "cell", "all", "zone", "cell")),
 			Window:    p.time(at+"window", 0),
@@ -198,7 +201,7 @@
 	for i := range p.count("customers.count") {
 		at := "customers." + strconv.Itoa(i) + "."
 		n.tenants[p.Text(at+"name", strconv.Itoa(i))] = i
-		s.Tenants = append(s.Tenants, rules.Tenant{Quota: p.number(at+"quota_rps", 0)})
+		s.Tenants = append(s.Tenants, rules.Tenant{Quota: p.Number(at+"quota_rps", 0)})
 	}
 	return s, errors.Join(p.errs...)
 }
--- a/internal/store/request.go
+++ b/internal/store/request.go
@@ -19,9 +19,9 @@
 	Slots  int
 	Memory float64
 	Retry  bool
-	Method string // the next three are for the operator's routes
+	Key    string // what the request is about; empty: none
+	Method string // this and the next are for the operator's routes
 	Path   string
-	Key    string
 }
 
 // What Open turns away. None of it reaches the module.
@@ -105,7 +105,7 @@
 	s.Counters.Taken.Add(1)
 	s.handle(now, &rules.Event{
 		Kind: rules.Arrived, Request: id, Class: class, Tenant: tenant, Left: rules.Time(j.Left.Microseconds()),
-		Slots: max(j.Slots, 1), Memory: j.Memory, Retry: j.Retry, Narrow: narrow,
+		Slots: max(j.Slots, 1), Memory: j.Memory, Retry: j.Retry, Narrow: narrow, Key: settings.Key(j.Key),
 	})
 	return r, nil
 }
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -44,7 +44,7 @@
 	shedFade   = 5 * Second        // refusing fades by itself over this: who refuses all sees no start
 	shedSkew   = 3.0               // how much rather landings beyond a tenant's share are refused
 	usualOver  = 5.0               // seconds of an equal part of all traffic that weigh against our landings
-	shareLeast = 12.0               // requests that a tenant may send at once, or a second of its share
+	shareLeast = 12.0              // requests that a tenant may send at once, or a second of its share
 	askAgain   = 200 * Millisecond // first wait before a lost list is asked for again: doubles
 	askTimes   = 3                 // asks within AskWithin at the least while there is no answer
 )
@@ -322,6 +322,9 @@
 	if d.knows(w) {
 		use = (w.load + j.need) / w.kind.size * d.paceOf(w) / d.all.pace
 	}
+	if !d.s.CanTell && d.s.WeightsMove && w.Weight > 0 {
+		use *= d.weight / w.Weight * d.weight / w.Weight // it falls as others fill the worker
+	}
 	if !d.s.CanTell && w.loadAt > 0 && d.now < w.loadAt+queueLife {
 		use += w.load / w.kind.size
 	}
@@ -337,7 +340,7 @@
 // roomOf is a worker's room. With nothing of ours there and no notes, a cut fades to the mean by listed size.
 func (d *Dispatcher) roomOf(w *worker) float64 {
 	usual := d.room
-	if d.weight > 0 && w.Weight > 0 {
+	if d.weight > 0 && w.Weight > 0 && !d.s.WeightsMove {
 		usual *= w.Weight / d.weight
 	}
 	if w.room >= usual || w.use > 0 || d.s.CanTell {
@@ -362,6 +365,8 @@
 	switch {
 	case j.triedAt(w) && len(d.ready) > 1, !d.knows(w) && d.now < w.capUntil && w.use+j.need > w.cap:
 		return false // the first guards against a worker that fails one job again and again
+	case !d.s.CanTell && d.s.WeightsMove && w.Weight < d.weight/2 && d.now < j.heldAt+d.farAfter():
+		return false
 	case w.distrust || w.silent: // guards against a black hole: a worker that errs or hangs always has room
 		return w.use == 0 && d.now >= w.trialAt && j.class.Effect != Unsafe
 	case d.knows(w):
--- a/rules/state.go
+++ b/rules/state.go
@@ -273,7 +273,7 @@
 		add := make([]point, 0, len(d.fresh)*ringPoints)
 		for _, w := range d.fresh {
 			for i := range ringPoints {
-				add = append(add, point{uint32(mix(w.Tag+uint64(i)<<32)), w.ID})
+				add = append(add, point{uint32(mix(w.Tag + uint64(i)<<32)), w.ID})
 			}
 		}
 		slices.SortFunc(add, point.compare)
@@ -559,6 +559,9 @@
 	if e.Narrow.Within > 0 {
 		j.end = min(j.end, d.now+e.Narrow.Within)
 	}
+	if d.s.PriceFetch <= 0 {
+		j.key = 0
+	}
 	j.work = j.class.believe(j.hint)
 	if e.Tenant >= 0 && e.Tenant < len(d.tenants) {
 		j.tenant = &d.tenants[e.Tenant]
