--- a/rules/rules.go
+++ b/rules/rules.go
@@ -27,6 +27,7 @@
 	probeFrom  = 0.2               // mean waits, in usual runs, from which a probe is worth its price
 	askLife    = 60 * Millisecond  // a pick's load is waited for this long, and a home's word counts as long
 	wordLife   = 600 * Millisecond // and counts this long: jobs run longer
+	askCount   = 4                 // workers that a draw asks for at the most: a note has a price, and keys want few
 	homeAfter  = 1 * Second        // a home that has just started has not heard of all use
 	stallSlack = 400 * Millisecond // a progress note later than this is no pause: the worker stands still
 	newWeight  = 0.2               // weight of the newest outcome, start, connect or run where few are seen
@@ -229,7 +230,7 @@
 func (d *Dispatcher) draw(j *job, n int) {
 	j.joinAt = d.now + joinTick
 	if d.s.CanTell {
-		j.joinAt = d.now + askLife
+		j.joinAt, n = d.now+askLife, min(n, askCount) // no worker is used blindly that others may crowd
 	}
 	for i := range n {
 		w := d.pick(j, i%2 == 0)
@@ -238,9 +239,6 @@
 		}
 		probe := d.s.CanProbe && d.s.ProbesTell && j.step == 0 && w.kind.wait+d.zone(w).wait > probeFrom
 		ask := (w.use == 0 || d.s.CanTell) && d.now >= w.askedAt+askLife && (d.s.CanTell || probe)
-		if ask && i >= scanMost {
-			continue // notes are bounded, and no worker is used blindly that others may crowd
-		}
 		j.addPick(w)
 		if ask {
 			d.askLoad(w)
