--- /dev/null
+++ b/internal/node/shape.go
@@ -0,0 +1,77 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"birchfork/internal/settings"
+)
+
+// reportValues are the values that a load report can hold (the bench's wire, "What a load report can contain"). The
+// last two are explained by settings of their own.
+var reportValues = []string{"busy_reqs", "pending", "cpu_share", "svc_ms", "served_ps", "failed_ps", "x0", "x1"}
+
+// checkShape refuses settings that mix one shape of deployment with another: parts of them that cannot hold together, as
+// they are left when only half of a configuration is moved. Each fault names its key. The bench's adapter does not ask
+// it: it must cope with settings that are odd but legal.
+func checkShape(p *settings.Pairs) error {
+	var faults []error
+	fault := func(key, format string, v ...any) {
+		faults = append(faults, fmt.Errorf("setting "+key+": "+format, v...))
+	}
+	how, weights := p.Text("report.how", "off"), p.Text("weight_kind", "off")
+	probes, peers := p.Flag("policy_limits.probes", false), p.Flag("policy_limits.peers", false)
+	var names []string
+	if v := p.Text("report.names", ""); v != "" {
+		names = strings.Split(v, ",")
+	}
+	switch {
+	case !slices.Contains([]string{"off", "inline", "on_probe"}, how):
+		fault("report.how", "%q is not one of off, inline, on_probe", how)
+	case how == "off" && len(names) > 0:
+		fault("report.names", "%s, but report.how is off: name nothing, or say how workers report", strings.Join(names, ","))
+	case how != "off" && len(names) == 0:
+		fault("report.names", "it names nothing, but report.how is %s: name the values, or set report.how to off", how)
+	case how == "on_probe" && !probes:
+		fault("report.how", "on_probe, but policy_limits.probes is false: nothing would ever be reported; set inline or off, or allow probes")
+	}
+	for _, n := range names {
+		if !slices.Contains(reportValues, n) {
+			fault("report.names", "%q is not one of %s", n, strings.Join(reportValues, ", "))
+		} else if strings.HasPrefix(n, "x") && p.Text("extra.report_"+n, "") == "" {
+			fault("report.names", "%s is told, but extra.report_%s does not say what it means", n, n)
+		}
+	}
+	switch {
+	case !slices.Contains([]string{"off", "nominal", "rough", "live"}, weights):
+		fault("weight_kind", "%q is not one of off, nominal, rough, live", weights)
+	case weights == "live" && how == "off":
+		fault("weight_kind", "live, but report.how is off: nothing moves the weights; set nominal or rough, or say how workers report")
+	}
+	if v := p.Number("prices.probe", 0); v > 0 && !probes {
+		fault("prices.probe", "%v, but policy_limits.probes is false: set it to 0, or allow probes", v)
+	}
+	if v := p.Number("prices.peer", 0); v > 0 && !peers {
+		fault("prices.peer", "%v, but policy_limits.peers is false: set it to 0, or allow notes between dispatchers", v)
+	}
+	return errors.Join(faults...)
+}
+
+// unspoken names what the settings allow or promise and sockets have no words for yet. The module does without.
+func unspoken(p *settings.Pairs) (lines []string) {
+	if p.Flag("policy_limits.peers", false) {
+		lines = append(lines, "policy_limits.peers: notes between dispatchers have no words on sockets yet: none is sent, "+
+			"and jobs are placed by what this dispatcher has seen itself")
+	}
+	switch p.Text("report.how", "off") {
+	case "inline":
+		lines = append(lines, "report.how: load reports with answers have no words on sockets yet: none is read, "+
+			"and rooms are learned from starts and ends")
+	case "on_probe":
+		lines = append(lines, "report.how: load reports to probes are not asked for on sockets yet, "+
+			"and rooms are learned from starts and ends")
+	}
+	return lines
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -10,7 +10,7 @@
 	pickCount  = 2                 // held lists that a job joins at its landing: the paper's d
 	joinCount  = 24                // lists that it joins each time it has found no room
 	picksMost  = 64                // picks weighed for one job: bounds the work of an event
-	scanMost   = 8                 // held jobs looked at for one that fits, draws for a pick, loads asked for
+	scanMost   = 8                 // held jobs looked at for one that fits, draws for a pick
 	ringScan   = 64                // points of the ring looked at for a worker that is ready and warm
 	joinTick   = 10 * Millisecond  // no room for this long: further workers join the picks
 	crossWait  = 2 * Second / 10   // longer wait, times the price of a crossing, before other zones join
@@ -25,9 +25,9 @@
 	reportLife = 200 * Millisecond // free slots told count this long: slots turn over within a run
 	queueLife  = 2 * Second        // a queue told counts this long: it lasts where many wait
 	probeFrom  = 0.2               // mean waits, in usual runs, from which a probe is worth its price
-	askLife    = 60 * Millisecond  // a pick's load is waited for this long, and a home's word counts as long
-	wordLife   = 600 * Millisecond // and counts this long: jobs run longer
-	askCount   = 4                 // workers that a draw asks for at the most: a note has a price, and keys want few
+	askLife    = 60 * Millisecond  // a pick's load is waited for this long: notes take up to 54 ms and back
+	wordLife   = 600 * Millisecond // a home's word counts this long: an older one says more than none
+	askCount   = 4                 // workers that a draw joins where each is asked for: notes have a price
 	homeAfter  = 1 * Second        // a home that has just started has not heard of all use
 	stallSlack = 400 * Millisecond // a progress note later than this is no pause: the worker stands still
 	newWeight  = 0.2               // weight of the newest outcome, start, connect or run where few are seen
@@ -39,7 +39,7 @@
 	paceMost   = 20.0              // times the mean pace that one run counts for at most
 	extraShare = 0.15              // further attempts for each landing: bounds retry storms
 	extraMost  = 10.0              // further attempts saved up at most
-	cheapWaste = 0.1               // price of wasted work up to which a waiting job is entered twice
+	cheapWaste = 0.1               // price of a copy, its work and its fetch, up to which waiting jobs move
 	shedUp     = 0.3               // harder refusing for each job that a queue makes start too late ...
 	shedDown   = 0.1               // ... and less for each other start: a quarter may be late
 	shedFade   = 5 * Second        // refusing fades by itself over this: who refuses all sees no start
@@ -272,8 +272,9 @@
 	return nil
 }
 
-// drawn draws a worker at random; where jobs need what a worker keeps, the key's hash takes the random source's place,
-// so that all dispatchers draw the same workers for it, in the same order.
+// drawn draws a worker at random. Where jobs need what workers keep, the key's hash takes the random source's
+// place: all dispatchers draw the same workers for a key, in the same order. A cold one is drawn evenly, as a
+// hash would bring it more than its part (one fell over at seven times what it bore).
 func (d *Dispatcher) drawn(j *job, from []*worker) *worker {
 	w := from[d.rng.IntN(len(from))]
 	if j.key == 0 || d.warmth(w) < 1 {
@@ -286,7 +287,7 @@
 			after = append(after[:i:i], before...)
 		}
 		if h := d.workers[after[i].w]; h.isReady() && d.warmth(h) >= 1 {
-			return h // a hash would bring a cold worker more than its even part
+			return h
 		}
 	}
 	return w
@@ -363,7 +364,8 @@
 	switch {
 	case j.triedAt(w) && len(d.ready) > 1, !d.knows(w) && d.now < w.capUntil && w.use+j.need > w.cap:
 		return false // the first guards against a worker that fails one job again and again
-	case !d.s.CanTell && d.s.WeightsMove && w.Weight < d.weight/2 && d.now < j.heldAt+d.farAfter():
+	case !d.s.CanTell && d.s.WeightsMove && w.Weight > 0 && w.Weight < d.weight/2 &&
+		d.now < j.heldAt+d.farAfter(): // others fill it, as far as its weight has told
 		return false
 	case w.distrust || w.silent: // guards against a black hole: a worker that errs or hangs always has room
 		return w.use == 0 && d.now >= w.trialAt && j.class.Effect != Unsafe
@@ -419,9 +421,10 @@
 	return d.s.CanCancel && d.s.TellsStart && d.s.PriceWaste+d.s.PriceFetch <= cheapWaste
 }
 
-// races says whether a job waiting at a worker is entered at a second; the first start deletes the other.
+// races says whether a job that waits at a worker moves or is entered twice: a start deletes the other.
 func (d *Dispatcher) races(j *job) bool {
-	return d.pulls() && j.class.Effect == Safe && !j.narrow.Single && !j.narrow.Strict && d.s.SecondCopies || d.moves(j)
+	twice := d.s.SecondCopies && j.class.Effect == Safe && !j.narrow.Single && !j.narrow.Strict
+	return d.pulls() && twice || d.moves(j)
 }
 
 // moves says whether a job waiting at a worker is taken back first and then entered at another.
