--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -162,7 +162,7 @@
 	// The protocol has no words yet for notes between dispatchers and for load reports, and the list comes by a watch
 	// that we hold ourselves. The module is told so, and asks for none of it.
 	c.Unspoken = unspoken(p)
-	s.CanTell, s.ProbesTell, s.ListOnRequest = false, false, false
+	s.CanTell, s.ListOnRequest = false, false
 	c.Settings = s
 	_, err = rules.New(s, 0)
 	return err
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -41,7 +41,7 @@
 		len(c.Known.Entries) != 1 || !c.Known.Stale || !c.Known.Whole || len(c.Settings.Classes) != 1 {
 		t.Fatalf("%+v", c)
 	}
-	if c.Settings.CanTell || c.Settings.ProbesTell || c.Settings.ListOnRequest {
+	if c.Settings.CanTell || c.Settings.ListOnRequest {
 		t.Fatal("the module is told of what sockets have no words for")
 	}
 	if got := idleLife(c.Settings); got != 2*time.Second {
--- a/internal/node/shape_test.go
+++ b/internal/node/shape_test.go
@@ -55,7 +55,7 @@
 				t.Errorf("%s: %q does not begin with %s", name, c.Unspoken[i], key)
 			}
 		}
-		if c.Settings.CanTell || c.Settings.ProbesTell || c.Settings.ListOnRequest {
+		if c.Settings.CanTell || c.Settings.ListOnRequest {
 			t.Errorf("%s: the module is told of what sockets have no words for", name)
 		}
 		if hub := name == "hub"; (c.Settings.PriceFetch > 0) != hub || c.Settings.WeightsMove != hub {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -155,8 +155,6 @@
 		Tick:           p.time("tick", rules.Millisecond),
 		MaxAttempts:    p.Whole("policy_limits.attempts_cap", 1),
 		CanCancel:      p.Flag("policy_limits.cancel", false),
-		CanProbe:       p.Flag("policy_limits.probes", false),
-		ProbesTell:     p.Text("report.how", "off") != "off",
 		SecondCopies:   p.Flag("policy_limits.second_copies", false),
 		RetryAfter:     p.Flag("policy_limits.retry_after", false),
 		MaxRetryAfter:  p.time("policy_limits.max_retry_after", 0),
@@ -175,7 +173,6 @@
 		PriceFetch:     p.Number("prices.origin", 0),
 		PriceLateFail:  p.Number("prices.late_fail", 0),
 		PriceCross:     p.Number("prices.cross_zone", 0),
-		PriceConnect:   p.Number("prices.handshake", 0),
 		IdleClose:      p.time("policy_limits.idle_close", 0),
 	}
 	if z, ok := n.zones[p.Text("zone", "")]; ok {
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -85,8 +85,8 @@
 				Report: rules.Report{FreeSlots: -1, Queue: -1}}},
 		{"stream", []string{q, "FIRST_BYTE\tr-1\t0\t0.5\tx:1\n"},
 			rules.Event{Kind: rules.AnswerBegan, Elapsed: 500 * rules.Millisecond, Tenant: -1}},
-		{"probe", []string{"PROBE_DONE\t0.5\t0\tx:1\t-\n"}, rules.Event{Kind: rules.Probed,
-			Elapsed: 500 * rules.Millisecond, Tenant: -1, Report: rules.Report{FreeSlots: -1, Queue: -1}}},
+		{"a probe's end is passed over", []string{"PROBE_DONE\t0.5\t0\tx:1\t-\n", q, "GONE\tr-1\n"},
+			rules.Event{Kind: rules.ClientGone, Tenant: -1}},
 		{"gone", []string{q, "GONE\tr-1\n"}, rules.Event{Kind: rules.ClientGone, Tenant: -1}},
 		{"timer", []string{"WAKEUP\tsweep\n"}, rules.Event{Kind: rules.TimerFired, Tenant: -1}},
 		{"list lost", []string{"MEMBERSHIP\tbroken\t0\t9\n"}, rules.Event{Kind: rules.ListLost, Version: 9, Tenant: -1}},
@@ -150,7 +150,7 @@
 		{Kind: rules.Refuse, Request: 0, Wait: 1234567},
 		{Kind: rules.GiveUp, Request: 1},
 		{Kind: rules.SetTimer, Wait: 500},
-		{Kind: rules.WatchList}, {Kind: rules.FetchList}, {Kind: rules.Probe, Worker: 0},
+		{Kind: rules.WatchList}, {Kind: rules.FetchList},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -160,7 +160,7 @@
 		t.Fatal(err)
 	}
 	want := "BY\t0\nCALL_OUT\tr-1\t10.0.0.2:7\t0.08\nRETRACT\tr-1\t0\nREFUSE\tr-1\t1.234567\nGIVE_UP\tr-2\n" +
-		"ARM\tt\t0.0005\nWATCH\t1\nLOOKUP\nPROBE\t10.0.0.1:7\nBY\t3\nDIE\tit broke\nEOR\n"
+		"ARM\tt\t0.0005\nWATCH\t1\nLOOKUP\nBY\t3\nDIE\tit broke\nEOR\n"
 	if out.String() != want {
 		t.Fatalf("got\n%swant\n%s", out.String(), want)
 	}
--- a/internal/simwire/wire.go
+++ b/internal/simwire/wire.go
@@ -288,12 +288,11 @@
 		f.text("handle")
 		return true, f.done()
 	case "PROBE_DONE":
-		e.Kind = rules.Probed
-		e.Elapsed = f.time("spent")
-		e.Result = result(f.whole("state_code", 0, 1<<30, -1))
-		e.Worker = n.KnownWorker(f.text("runner"))
+		f.time("spent") // nobody here probes
+		f.whole("state_code", 0, 1<<30, -1)
+		f.text("runner")
 		r.report(f)
-		return true, f.done()
+		return false, f.done()
 	case "MEMBERSHIP":
 		return true, r.readMembership(f, n)
 	case "DATAGRAM":
--- a/internal/simwire/writer.go
+++ b/internal/simwire/writer.go
@@ -63,8 +63,6 @@
 		w.buf = append(w.buf, "WATCH\t1"...)
 	case rules.FetchList:
 		w.buf = append(w.buf, "LOOKUP"...)
-	case rules.Probe:
-		w.buf = append(append(w.buf, "PROBE\t"...), n.WorkerName(a.Worker)...)
 	case rules.Tell:
 		w.buf = strconv.AppendInt(append(w.buf, "WRITE_PEER\t"...), int64(a.Peer), 10)
 		w.buf = appendNote(append(w.buf, '\t'), a.Note)
--- a/rules/interface.go
+++ b/rules/interface.go
@@ -74,8 +74,6 @@
 
 	MaxAttempts    int // attempts for one request
 	CanCancel      bool
-	CanProbe       bool
-	ProbesTell     bool // a probe brings a report of the worker's load
 	SecondCopies   bool // two attempts of one request may be out together
 	RetryAfter     bool // clients are told when to come back
 	MaxRetryAfter  Time
@@ -96,7 +94,6 @@
 	PriceFetch    float64 // price of one fetch from the store for each request
 	PriceLateFail float64 // price of worth that ended unserved after its aim
 	PriceCross    float64 // price of one crossing between zones for each request
-	PriceConnect  float64 // price of one new connection for each request
 	IdleClose     Time    // idle connections are closed after this
 }
 
@@ -115,11 +112,10 @@
 	Ended                         // Request, Attempt, Worker, Result, Elapsed, Final, Report
 	ClientGone                    // Request: no answer is owed any more
 	TimerFired
-	Probed // Worker, Result, Report
-	Heard  // Peer, Note
+	Heard // Peer, Note
 )
 
-// Result is how an attempt or a probe ended.
+// Result is how an attempt ended.
 type Result uint8
 
 // The results. Unknown ones count as possibly run.
@@ -237,7 +233,6 @@
 	SetTimer                    // Wait
 	WatchList                   // ask for the list's changes from now on
 	FetchList                   // ask for the whole list once
-	Probe                       // Worker
 	Tell                        // Peer, Note
 )
 
--- a/rules/random_test.go
+++ b/rules/random_test.go
@@ -56,8 +56,6 @@
 	switch {
 	case a.Kind == Tell && (!v.s.CanTell || a.Peer < 0 || a.Peer >= v.s.GroupSize || a.Peer == v.s.Ordinal):
 		return fmt.Errorf("a note to %d", a.Peer)
-	case a.Kind == Probe && !v.s.CanProbe:
-		return fmt.Errorf("a probe where none is allowed")
 	case a.Kind == Cancel && (!v.s.CanCancel || j == nil || a.Attempt >= len(j.tries)):
 		return fmt.Errorf("%v, of an attempt never made or not allowed", a)
 	case a.Kind != Send && a.Kind != Refuse && a.Kind != GiveUp:
@@ -181,13 +179,12 @@
 	s.SecondCopies = seed%2 == 0
 	s.ListOnRequest = seed%3 == 0
 	s.TellsStart = seed%5 != 0
-	s.CanProbe = seed%4 < 2
 	s.GroupSize = 1 + r.IntN(4)
 	workers := 8
 	if seed%6 == 5 { // a large fleet and group
 		s.GroupSize, workers = 100+r.IntN(500), 300
 	}
-	s.Ordinal, s.CanTell, s.ProbesTell = r.IntN(s.GroupSize), seed%7 < 3, seed%8 < 4
+	s.Ordinal, s.CanTell = r.IntN(s.GroupSize), seed%7 < 3
 	s.PriceWaste = float64(r.IntN(2)) * 0.2
 	s.Classes[unsafe].LateWorth = 0
 	s.PriceCross = float64(r.IntN(3)) * 0.05
@@ -352,8 +349,6 @@
 		return Event{Kind: ListLost}
 	case n < 96:
 		return Event{Kind: ClientGone, Request: id}
-	case n < 97:
-		return Event{Kind: Probed, Worker: WorkerID(r.IntN(20)), Report: Report{Known: true, FreeSlots: -9, Queue: r.Float64() * 99}}
 	case n < 99: // notes: nonsense, old, from nobody
 		return Event{Kind: Heard, Peer: r.IntN(g.v.s.GroupSize+4) - 2, Note: Note{Kind: NoteKind(r.IntN(4)), Tag: uint64(r.IntN(20)) * 7919,
 			Slots: r.Float64()*9 - 2}}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -14,7 +14,7 @@
 	ringScan   = 64                // points of the ring looked at for a worker that is ready and warm
 	joinTick   = 10 * Millisecond  // no room for this long: further workers join the picks
 	crossWait  = 2 * Second / 10   // longer wait, times the price of a crossing, before other zones join
-	costWeight = 15.0              // rooms that a crossing or a new connection weighs, times its price
+	costWeight = 15.0              // rooms that a crossing or a fetch weighs, times its price
 	roomStart  = 2.0               // slots; every dispatcher takes this of a worker whose size nobody knows
 	roomStep   = 0.5               // slots of room for each slot of success at the room
 	roomFloor  = 1.0 / 8           // slots at the least
@@ -23,8 +23,7 @@
 	queueSlack = 40 * Millisecond  // a start this far past two of the quickest: a queue at the worker
 	copySlack  = 10 * Millisecond  // the same where a copy elsewhere costs next to nothing
 	reportLife = 200 * Millisecond // free slots told count this long: slots turn over within a run
-	queueLife  = 2 * Second        // a queue told counts this long: it lasts where many wait
-	probeFrom  = 0.2               // mean waits, in usual runs, from which a probe is worth its price
+	queueLife  = 2 * Second        // a worker told to be crowded counts as that this long: queues last
 	askLife    = 60 * Millisecond  // a pick's load is waited for this long: notes take up to 54 ms and back
 	wordLife   = 600 * Millisecond // a home's word counts this long: an older one says more than none
 	askCount   = 4                 // workers that a draw joins where each is asked for: notes have a price
@@ -226,7 +225,7 @@
 	}
 }
 
-// draw joins the lists of n further workers and asks for loads that no job of ours tells: by notes or probes.
+// draw joins the lists of n further workers; where notes tell loads, it asks for those that it does not know.
 func (d *Dispatcher) draw(j *job, n int) {
 	j.joinAt = d.now + joinTick
 	if d.s.CanTell {
@@ -237,11 +236,10 @@
 		if w == nil || j.picked(w) {
 			continue
 		}
-		probe := d.s.CanProbe && d.s.ProbesTell && j.step == 0 && w.kind.wait+d.zone(w).wait > probeFrom
-		ask := (w.use == 0 || d.s.CanTell) && d.now >= w.askedAt+askLife && (d.s.CanTell || probe)
 		j.addPick(w)
-		if ask {
-			d.askLoad(w)
+		if d.s.CanTell && d.now >= w.askedAt+askLife {
+			w.askedAt = d.now
+			d.tellHome(w, Ask)
 		}
 	}
 }
@@ -324,15 +322,9 @@
 	if !d.s.CanTell && d.s.WeightsMove && w.Weight > 0 {
 		use *= d.weight / w.Weight * d.weight / w.Weight // it falls as others fill the worker
 	}
-	if !d.s.CanTell && w.loadAt > 0 && d.now < w.loadAt+queueLife {
-		use += w.load / w.kind.size
-	}
 	if w.Zone != d.s.Zone {
 		use += costWeight * d.s.PriceCross
 	}
-	if d.now >= w.endedAt+d.s.IdleClose {
-		use += costWeight * d.s.PriceConnect // a new connection
-	}
 	return use
 }
 
@@ -506,12 +498,10 @@
 	return true
 }
 
-// reported takes a worker's word on its load. Free slots told by probes are old: all would flock there.
+// reported takes a worker's word on its load. Free slots cap its room and never open it: all would
+// flock there.
 func (d *Dispatcher) reported(w *worker, e *Event) {
-	if e.Report.Known && e.Kind == Probed && !d.s.CanTell {
-		w.load, w.loadAt = max(0, e.Report.Queue), d.now
-		d.placeAll(w)
-	} else if e.Report.Known && e.Report.FreeSlots >= 0 {
+	if e.Report.Known && e.Report.FreeSlots >= 0 {
 		w.cap, w.capUntil = w.use+e.Report.FreeSlots, d.now+reportLife
 		w.kind.size, w.kind.told = max(w.kind.size, math.Floor(e.Report.FreeSlots)), true
 	}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -751,7 +751,7 @@
 		{Kind: Started, Request: 99}, {Kind: Progressed, Request: 99}, {Kind: ClientGone, Request: 99},
 		{Kind: Arrived, Request: id, Class: safe, Left: Second}, // an id that is open
 		{Kind: Arrived, Request: 50, Class: 77, Left: Second},
-		{Kind: Probed, Worker: 12}, {Kind: EventKind(200)},
+		{Kind: EventKind(200)},
 	} {
 		if acts := k.do(e); len(acts) != 0 {
 			t.Fatalf("event %+v: got %v", e, acts)
@@ -1169,36 +1169,6 @@
 	}
 }
 
-func TestQueuesToldByProbesDecideWhereStartsWait(t *testing.T) {
-	s := settings()
-	s.CanProbe, s.ProbesTell = true, true
-	k := newDesk(t, s, fleet(2)...)
-	_, acts := k.land(safe, 100*ms)
-	want(t, acts, Send) // while nothing waits a probe is not worth its price
-	for i := range k.d.kinds {
-		k.d.kinds[i].wait = 1
-	}
-	used := map[WorkerID]int{}
-	for range 20 {
-		_, acts := k.land(safe, 100*ms)
-		for _, a := range acts {
-			if a.Kind == Probe {
-				rep := Report{Known: true, FreeSlots: 0, Queue: 9 * float64(a.Worker)}
-				acts = append(acts, k.do(Event{Kind: Probed, Worker: a.Worker, Report: rep})...)
-			}
-		}
-		for _, a := range append(acts, k.wait(30*ms)...) {
-			if a.Kind == Send {
-				used[a.Worker]++
-				k.run(a.Request, 0)
-			}
-		}
-	}
-	if used[0] < 12 || used[1] > 8 { // both draws of a job may fall on one worker
-		t.Fatalf("sends by worker %v, want most to the one without a queue", used)
-	}
-}
-
 func TestZoneBehindACutLinkIsLeftOut(t *testing.T) {
 	s := settings()
 	s.Zone, s.MaxAttempts = -1, 1
@@ -1241,24 +1211,6 @@
 	}
 }
 
-func TestOpenConnectionsArePreferredWhereNewOnesCost(t *testing.T) {
-	workers := func(price float64) int {
-		s := settings()
-		s.PriceConnect, s.IdleClose = price, 10*Second
-		k := newDesk(t, s, fleet(60)...)
-		used := map[WorkerID]bool{}
-		for range 100 {
-			id, w := k.sent(safe, 20*ms)
-			used[w] = true
-			k.run(id, 5*ms)
-		}
-		return len(used)
-	}
-	if free, dear := workers(0), workers(0.03); dear >= free-5 {
-		t.Fatalf("%d workers used where a connection has a price, %d where it has none", dear, free)
-	}
-}
-
 func TestRepeatsOfClientsDrawNoColdWorker(t *testing.T) {
 	k := newDesk(t, settings())
 	list := fleet(4)
--- a/rules/state.go
+++ b/rules/state.go
@@ -170,7 +170,6 @@
 
 func (d *Dispatcher) freed(j *job, a *attempt) {
 	a.out = false
-	a.w.endedAt = d.now
 	a.w.use -= j.need
 	d.inUse -= j.need
 	if a.startedAt > 0 {
@@ -189,16 +188,6 @@
 	}
 }
 
-// askLoad asks for a worker's load, its home or itself.
-func (d *Dispatcher) askLoad(w *worker) {
-	w.askedAt = d.now
-	if d.s.CanTell {
-		d.tellHome(w, Ask)
-	} else {
-		d.emit(Action{Kind: Probe, Worker: w.ID})
-	}
-}
-
 // tellHome asks a worker's home for its load or tells it what we use there.
 func (d *Dispatcher) tellHome(w *worker, kind NoteKind) {
 	if d.s.CanTell {
@@ -334,9 +323,8 @@
 	lists    [bands]queue
 	cap      float64 // slots, by the last report
 	capUntil Time
-	load     float64 // slots used there, by its home's word, or waiting there, by a probe
+	load     float64 // slots used there, by its home's word
 	loadAt   Time
-	endedAt  Time // of our last attempt there
 	askedAt  Time
 	pace     float64
 	runs     float64
@@ -473,9 +461,9 @@
 			return fmt.Errorf("%s: %d is negative", t.name, t.t)
 		}
 	}
-	if !(s.ColdFrom >= 0) || !(s.FallMultiple >= 0) || !(s.PriceCross >= 0) || !(s.PriceConnect >= 0) ||
-		!(s.OverShareWorth >= 0) {
-		return errors.New("ColdFrom, FallMultiple, PriceCross, PriceConnect or OverShareWorth: negative")
+	if !(s.ColdFrom >= 0) || !(s.FallMultiple >= 0) || !(s.PriceCross >= 0) ||
+		!(s.PriceFetch >= 0) || !(s.OverShareWorth >= 0) {
+		return errors.New("ColdFrom, FallMultiple, PriceCross, PriceFetch or OverShareWorth: negative")
 	}
 	return nil
 }
@@ -504,10 +492,6 @@
 		if j != nil && j.open {
 			d.close(j)
 		}
-	case Probed:
-		if w := d.worker(e.Worker); w != nil {
-			d.reported(w, e)
-		}
 	case Heard: // nonsense from peers is passed over
 		if d.s.CanTell && e.Peer >= 0 && e.Peer < d.s.GroupSize && e.Peer != d.s.Ordinal && e.Note.Slots >= 0 {
 			d.heard(e.Peer, e.Note)
