--- a/rules/rules.go
+++ b/rules/rules.go
@@ -462,7 +462,9 @@
 		return
 	case a.raced:
 		a.late = true
-		d.press(shedUp * (1 - j.class.LateWorth))
+		if !d.moves(j) { // what moved has met the queues of several and leaves the last at its aim
+			d.press(shedUp * (1 - j.class.LateWorth))
+		}
 		return
 	case !a.queued:
 		a.queued = true
--- a/rules/shape_test.go
+++ b/rules/shape_test.go
@@ -337,3 +337,17 @@
 		t.Errorf("%d of 200 jobs within the share were taken for beyond it", behindOnes)
 	}
 }
+
+// Refusing for jobs that leave their queues by themselves would leave slots idle; jobs that stay in them still press.
+func TestLateStartsOfWhatMovesRefuseNobody(t *testing.T) {
+	for class, presses := range map[int]bool{safe: false, unsafe: true} {
+		s := alone()
+		s.MaxAttempts = 1
+		k := newDesk(t, s, fleet(6)...)
+		k.sent(class, 100*ms)
+		k.wait(900 * ms)
+		if got := k.d.shed > 0; got != presses {
+			t.Errorf("class %d: refusing %v after a late start, want %v", class, got, presses)
+		}
+	}
+}
