--- a/rules/rules.go
+++ b/rules/rules.go
@@ -249,18 +249,20 @@
 
 // pick draws a random ready worker that may be used, of all zones the more often the longer starts wait near.
 func (d *Dispatcher) pick(j *job, near bool) *worker {
-	from := d.ready
+	from, even := d.ready, 1.0
 	if cost := costWeight * d.s.PriceCross; j.key == 0 && cost > 0 && len(d.near) > 0 &&
 		(near || d.now < j.heldAt+d.farAfter() && math.Sqrt(d.rng.Float64())*cost >= d.zones[d.s.Zone].wait) {
-		from = d.near
+		// Where few are left of a zone, its draws would bring a cold one many times its part.
+		from, even = d.near, min(1, float64(len(d.near)*d.s.Zones)/float64(len(d.ready)))
 	}
-	for range min(scanMost, len(from)) {
+	for i := range min(scanMost, len(from)) {
 		w := d.drawn(j, from)
 		z := d.zone(w)
 		switch {
 		case (w.distrust || w.silent) && d.now < w.trialAt:
 		case z.lost > 0.5 && d.now < z.trialAt: // guards against a cut link: none behind it can be reached
-		case d.warmth(w) < 1 && !(j.first && j.step == 0 && d.rng.Float64() < d.coldBears(w)):
+		case d.warmth(w) < 1 && i > 0: // nor does it take the draws of those passed over
+		case d.warmth(w) < 1 && !(j.first && j.step == 0 && d.rng.Float64() < even*d.coldBears(w)):
 			return nil // not drawn again: that would raise the others' chance
 		default:
 			z.trialAt = d.now + trialGap
--- a/rules/shape_test.go
+++ b/rules/shape_test.go
@@ -351,3 +351,51 @@
 		}
 	}
 }
+
+// coldSends lands first tries one at a time and counts those that go to a worker.
+func (k *desk) coldSends(jobs int, cold func(WorkerID) bool) (n int) {
+	for range jobs {
+		id, acts := k.land(safe, 50*ms)
+		acts = append(acts, k.wait(joinTick+ms)...)
+		for _, a := range acts {
+			if a.Kind == Send && cold(a.Worker) {
+				n++
+			}
+		}
+		if j := k.d.job(id); j != nil && j.out() > 0 {
+			k.run(id, 0)
+		}
+	}
+	return n
+}
+
+// On a recorded day most workers of one zone were gone and six came back cold: all dispatchers of that zone drew from six.
+func TestFewColdWorkersOfAZoneDoNotBearAllItsDraws(t *testing.T) {
+	s := settings()
+	s.PriceCross = 0.02
+	list := tagged(40)
+	for i := range list {
+		list[i].Zone = 1
+	}
+	k := newDesk(t, s)
+	for i := range 2 {
+		list[i].Zone, list[i].StartedAt = 0, k.now
+	}
+	k.do(Event{Kind: ListSnapshot, Workers: list, Version: 1})
+	if n := k.coldSends(300, func(w WorkerID) bool { return w < 2 }); n > 30 {
+		t.Errorf("%d of 300 jobs went to two cold workers, alone in their zone with half of all traffic; want a tenth of them at most", n)
+	}
+}
+
+func TestPassingOverOthersBringsAColdWorkerNoMore(t *testing.T) {
+	k := newDesk(t, settings())
+	list := tagged(10)
+	list[0].StartedAt = k.now
+	k.do(Event{Kind: ListSnapshot, Workers: list, Version: 1})
+	for _, w := range k.d.workers[2:] {
+		w.silent, w.trialAt = true, never
+	}
+	if n := k.coldSends(300, func(w WorkerID) bool { return w == 0 }); n > 45 {
+		t.Errorf("%d of 300 jobs went to a cold worker, one of ten, as eight others give no sign", n)
+	}
+}
