--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -83,6 +83,9 @@
 
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(configText("127.0.0.1:8500", "127.0.0.1:9", "5")))
+	for _, s := range shapes {
+		f.Add([]byte(shaped("127.0.0.1:8500", s)))
+	}
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		if c, err := Decode(raw); err == nil && (len(c.Settings.Classes) == 0 || c.Limits.Sockets < leastSockets) {
 			t.Fatalf("%+v passed", c)
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -243,6 +243,10 @@
 func FuzzReader(f *testing.F) {
 	f.Add(batch(powerOn, pool, "MEMBERSHIP\twhole\t0\t7\n", "QUERY\tr-1\t0\tacme\tsearch\t-\t1\t-\t0\t0\t-\t1\n",
 		"CLOSED_ATTEMPT\tr-1\t0\tx:1\t0\t1\t1\t-\tx1:4\n", "GONE\tr-1\n"))
+	for _, report := range []string{"x0:-1", "x0:9e99", "cpu_share:,x0", "x0:1,x0:2", "odd:7"} {
+		f.Add(batch(powerOn, pool, "QUERY\tr-1\t0\tacme\tsearch\t-\t1\t18446744073709551616\t0\t0\t-\t1\n",
+			"CLOSED_ATTEMPT\tr-1\t0\tx:1\t0\t1\t1\t-\t"+report+"\n"))
+	}
 	f.Add("BATCH\t1\nFLUSH\n")
 	f.Add("BATCH\t-\nPOOL\t0\t0\nON\t-1\n")
 	f.Fuzz(func(t *testing.T, in string) {
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -23,6 +23,7 @@
 	queueSlack = 40 * Millisecond  // a start this far past two of the quickest: a queue at the worker
 	copySlack  = 10 * Millisecond  // the same where a copy elsewhere costs next to nothing
 	reportLife = 200 * Millisecond // free slots told count this long: slots turn over within a run
+	sizeStep   = 8.0               // slots by which one report raises a kind's size at the most
 	queueLife  = 2 * Second        // a worker told to be crowded counts as that this long: queues last
 	askLife    = 60 * Millisecond  // a pick's load is waited for this long: notes take up to 54 ms and back
 	wordLife   = 600 * Millisecond // a home's word counts this long: an older one says more than none
@@ -507,7 +508,8 @@
 func (d *Dispatcher) reported(w *worker, e *Event) {
 	if e.Report.Known && e.Report.FreeSlots >= 0 {
 		w.cap, w.capUntil = w.use+e.Report.FreeSlots, d.now+reportLife
-		w.kind.size, w.kind.told = max(w.kind.size, math.Floor(e.Report.FreeSlots)), true
+		told := math.Floor(min(e.Report.FreeSlots, w.kind.size+sizeStep)) // one absurd word must not open all
+		w.kind.size, w.kind.told = max(w.kind.size, told), true
 	}
 }
 
--- a/rules/shape_test.go
+++ b/rules/shape_test.go
@@ -399,3 +399,83 @@
 		t.Errorf("%d of 300 jobs went to a cold worker, one of ten, as eight others give no sign", n)
 	}
 }
+
+func TestAbsurdReportsDoNoLastingHarm(t *testing.T) {
+	k := newDesk(t, settings(), fleet(2)...)
+	w := k.d.workers[0]
+	for _, r := range []Report{{}, {Known: true, FreeSlots: -1, Queue: -1}, {Known: true, FreeSlots: 0, Queue: 1e12}, {FreeSlots: 50}} {
+		k.d.reported(w, &Event{Kind: Ended, Report: r})
+		if w.kind.size != 1 {
+			t.Errorf("size %v after the report %+v, want it as it was", w.kind.size, r)
+		}
+	}
+	k.d.reported(w, &Event{Kind: Ended, Report: Report{Known: true, FreeSlots: 1e9}})
+	if w.kind.size > 1+sizeStep {
+		t.Errorf("size %v after one absurd report", w.kind.size)
+	}
+	k.wait(reportLife) // zero free slots, told long ago
+	if _, acts := k.land(safe, 100*ms); count(acts, Send) != 1 {
+		t.Errorf("got %v, want a send in spite of old reports", acts)
+	}
+}
+
+func TestWeightsOfNoughtOrAllAlikePlaceJobs(t *testing.T) {
+	for name, weights := range map[string][3]float64{
+		"nought": {}, "one": {1, 1, 1}, "one told": {0, 6, 0}, "below nought": {-3, -3, -3}, "far apart": {1e-300, 1, 1e300},
+	} {
+		list := fleet(3)
+		for i := range list {
+			list[i].Weight = weights[i]
+		}
+		k := newDesk(t, moving(), list...)
+		sends := 0
+		for range 20 {
+			id, acts := k.land(safe, 50*ms)
+			acts = append(acts, k.wait(100*ms)...)
+			sends += count(acts, Send)
+			if j := k.d.job(id); j != nil && j.out() > 0 {
+				k.run(id, 0)
+			}
+		}
+		if sends < 20 {
+			t.Errorf("weights %s: %d of 20 jobs were sent", name, sends)
+		}
+	}
+}
+
+func TestKeysWithOneWorkerOrNone(t *testing.T) {
+	k := newDesk(t, fetching())
+	if _, acts := k.landKey(7); len(acts) != 0 {
+		t.Fatalf("got %v without a list", acts)
+	}
+	k.do(Event{Kind: ListSnapshot, Version: 1})
+	id, acts := k.landKey(7)
+	want(t, acts)
+	acts = append(k.do(Event{Kind: ListSnapshot, Version: 2, Workers: tagged(1)}), k.wait(2*joinTick)...)
+	if count(acts, Send) == 0 || k.d.job(id) == nil {
+		t.Fatalf("got %v once there is a worker", acts)
+	}
+}
+
+func TestAGroupOf900TellsWithinItself(t *testing.T) {
+	s := fetching()
+	s.GroupSize, s.Ordinal, s.CanTell = 900, 899, true
+	k := newDesk(t, s, tagged(290)...)
+	notes, sends := 0, 0
+	for key := range uint64(50) {
+		id, acts := k.landKey(key + 1)
+		acts = append(acts, k.wait(2*askLife)...)
+		for _, a := range acts {
+			if a.Kind == Tell && (a.Peer < 0 || a.Peer >= 899) {
+				t.Fatalf("a note to %d", a.Peer)
+			}
+		}
+		notes, sends = notes+count(acts, Tell), sends+count(acts, Send)
+		if j := k.d.job(id); j != nil && j.out() > 0 {
+			k.run(id, 0)
+		}
+	}
+	if sends < 50 || notes < 50 {
+		t.Errorf("%d sends and %d notes for 50 jobs, though no home answers", sends, notes)
+	}
+}
