Drop the points of machines that are gone, and test five parts of the move that nothing held

Need: points stayed on the ring for ever, so that a dispatcher that outlives many releases would walk 64 points of machines that are gone and lose a key's workers in silence; they go when new ones join. A wrap copied the whole ring; it is read in place now. Waits before moves doubled without bound and would have been shifted to nothing where very many attempts are allowed.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -282,12 +282,9 @@
 		return w
 	}
 	j.draws++
-	after, before := d.onRing(uint32(mix(j.key + j.draws<<56)))
+	at := d.onRing(uint32(mix(j.key + j.draws<<56)))
 	for i := range min(ringScan, len(d.ring)) {
-		if i == len(after) {
-			after = append(after[:i:i], before...)
-		}
-		if h := d.workers[after[i].w]; h.isReady() && d.warmth(h) >= 1 {
+		if h := d.workers[d.ring[(at+i)%len(d.ring)].w]; h.isReady() && d.warmth(h) >= 1 {
 			return h
 		}
 	}
@@ -434,7 +431,7 @@
 		slack = copySlack
 	}
 	if d.moves(j) {
-		slack = copySlack << (len(j.attempts) - 1) // attempts are few: they must not be gone at once
+		slack = copySlack << min(len(j.attempts)-1, 20) // attempts are few: they must not be gone at once
 	}
 	return 2*d.zone(w).base + slack
 }
--- a/rules/shape_test.go
+++ b/rules/shape_test.go
@@ -1,6 +1,7 @@
 package rules
 
 import (
+	"slices"
 	"testing"
 )
 
@@ -140,6 +141,60 @@
 	}
 }
 
+// Machines come and go for weeks: their points must not crowd out those that are left.
+func TestTheRingForgetsMachinesThatAreGone(t *testing.T) {
+	k := newDesk(t, fetching())
+	list := tagged(3000)
+	for i := range 100 { // each release replaces all 30 machines
+		k.do(Event{Kind: ListSnapshot, Version: uint64(i + 1), Workers: list[30*i : 30*i+30]})
+		id, _ := k.landKey(7)
+		k.run(id, 10*ms)
+	}
+	if n := len(k.d.ring); n != 30*ringPoints {
+		t.Fatalf("%d points for 30 workers", n)
+	}
+	k.do(Event{Kind: ListChange, Version: 101, Workers: []Worker{{ID: 2999, Tag: list[2999].Tag, State: Gone}, list[0]}})
+	k.landKey(8)
+	k.do(Event{Kind: ListChange, Version: 102, Workers: []Worker{list[2999], list[1]}}) // it comes back
+	k.landKey(9)
+	if n := len(k.d.ring); n != 32*ringPoints {
+		t.Errorf("%d points, want those of 32 workers: one that has come back has its points again, once", n)
+	}
+}
+
+func TestPartsOfTheRingAreAboutEven(t *testing.T) {
+	k := newDesk(t, fetching(), tagged(30)...)
+	homes := make([]int, 30)
+	for key := range uint64(3000) {
+		homes[k.d.drawn(&job{key: key + 1}, k.d.ready).ID]++
+	}
+	if most := slices.Max(homes); most > 200 {
+		t.Errorf("a worker is the first of %d keys, where 100 are the mean: it keeps only so many", most)
+	}
+}
+
+func TestAJobTurnedAwayGoesToItsKeysNextWorker(t *testing.T) {
+	k := newDesk(t, fetching(), tagged(30)...)
+	j := &job{key: 7}
+	k.d.drawn(j, k.d.ready)
+	next := k.d.drawn(j, k.d.ready)
+	id, _ := k.landKey(7)
+	acts := append(k.end(id, 0, Full), k.wait(joinTick+ms)...)
+	if count(acts, Send) != 1 || acts[0].Worker != next.ID {
+		t.Errorf("got %v, want it sent to worker %d, the second in the order of its key", acts, next.ID)
+	}
+}
+
+func TestAnEarlierPickOfAKeyIsPreferredToAnIdlerOne(t *testing.T) {
+	k := newDesk(t, fetching(), tagged(30)...)
+	id, acts := k.landKey(7)
+	home := acts[0].Worker
+	k.start(id, 0)
+	if _, acts = k.landKey(7); count(acts, Send) != 1 || acts[0].Worker != home {
+		t.Errorf("got %v, want the key's worker %d, which has room and one job, before an idle one", acts, home)
+	}
+}
+
 func TestNoRaceWhereACopyCostsAFetch(t *testing.T) {
 	s := racing()
 	s.PriceFetch = 0.1
@@ -250,6 +305,27 @@
 	}
 }
 
+func TestToldLoadsCountByPaceAndBeforeReports(t *testing.T) {
+	s := settings()
+	s.GroupSize, s.CanTell = 2, true
+	k := newDesk(t, s, fleet(2)...)
+	quick, slow := k.d.workers[0], k.d.workers[1]
+	for _, w := range k.d.workers {
+		w.load, w.loadAt, w.runs, w.pace = 1, k.now, 1, 1
+	}
+	slow.pace = 2
+	quick.kind.size = 8
+	k.d.now = k.now
+	j := &job{class: &k.d.classes[safe], need: 1, open: true, end: never, heldAt: k.now}
+	if a, b := k.d.usage(j, quick), k.d.usage(j, slow); a >= b {
+		t.Errorf("usage %v of the quick worker, %v of one half as quick under the same load", a, b)
+	}
+	quick.cap, quick.capUntil = 0, k.now+Second // a report of a moment ago
+	if !k.d.hasRoom(j, quick) {
+		t.Error("a report keeps a job from a worker whose home has just told room")
+	}
+}
+
 func TestADrawAsksForNoMoreThanItMay(t *testing.T) {
 	s := settings()
 	s.GroupSize, s.Ordinal, s.CanTell = 2, 0, true
@@ -479,3 +555,11 @@
 		t.Errorf("%d sends and %d notes for 50 jobs, though no home answers", sends, notes)
 	}
 }
+
+func TestWaitsBeforeMovesStayWaitsHoweverManyAttempts(t *testing.T) {
+	k := newDesk(t, alone(), fleet(2)...)
+	j := &job{class: &k.d.classes[safe], attempts: make([]attempt, 80)}
+	if wait := k.d.startBy(j, k.d.workers[0]); wait < Second {
+		t.Errorf("a wait of %v at the eightieth attempt: shifted out of its bits", wait)
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -254,11 +254,10 @@
 
 const ringPoints = 16
 
-// onRing returns the points from a place on, once round. New workers join when it is asked for: a dispatcher whose jobs
-// have no keys keeps none.
-func (d *Dispatcher) onRing(at uint32) (after, before []point) {
+// onRing returns the index of the first point from a place on. New workers join, and those that have left go, when it is
+// asked for and there are new ones: a dispatcher whose jobs have no keys keeps no ring.
+func (d *Dispatcher) onRing(at uint32) int {
 	if len(d.fresh) > 0 {
-		old := d.ring
 		add := make([]point, 0, len(d.fresh)*ringPoints)
 		for _, w := range d.fresh {
 			for i := range ringPoints {
@@ -266,7 +265,13 @@
 			}
 		}
 		slices.SortFunc(add, point.compare)
-		d.ring, d.fresh = make([]point, 0, len(old)+len(add)), nil
+		// Guards against a ring full of machines that are gone, in which a key would find none of its workers.
+		old := slices.DeleteFunc(d.ring, func(p point) bool {
+			w := d.workers[p.w]
+			w.ringed = w.ringed && w.told
+			return !w.ringed
+		})
+		d.ring, d.fresh = make([]point, 0, len(old)+len(add)), d.fresh[:0]
 		for len(old) > 0 && len(add) > 0 {
 			next := &old
 			if add[0].compare(old[0]) < 0 {
@@ -277,7 +282,7 @@
 		d.ring = append(append(d.ring, old...), add...)
 	}
 	i, _ := slices.BinarySearchFunc(d.ring, at, func(p point, at uint32) int { return cmp.Compare(p.at, at) })
-	return d.ring[i:], d.ring[:i]
+	return i
 }
 
 func (p point) compare(o point) int { return cmp.Or(cmp.Compare(p.at, o.at), cmp.Compare(p.w, o.w)) }
@@ -332,6 +337,7 @@
 	outcomes float64
 	distrust bool
 	silent   bool
+	ringed   bool // has points on the ring, or will have
 	trialAt  Time
 	gap      Time // between trials
 }
@@ -364,7 +370,7 @@
 	zones    []zoneState
 	ready    []*worker
 	near     []*worker // the ready ones in our own zone
-	ring     []point   // of all workers that were ever listed, in order
+	ring     []point   // of the workers listed when it last grew, and some that have left since
 	fresh    []*worker // whose points are not in it yet
 	weight   float64   // mean of the ready ones' listed weights
 	doubted  int       // ready workers that are distrusted
@@ -712,12 +718,14 @@
 		}
 		d.workers[n.ID] = w
 		d.tags[n.Tag] = w
-		d.fresh = append(d.fresh, w)
 		d.welcome(w)
 	} else if n.StartedAt > w.StartedAt {
 		d.welcome(w)
 	}
 	w.Worker, w.told = *n, n.State != Gone
+	if w.told && !w.ringed && d.s.PriceFetch > 0 {
+		w.ringed, d.fresh = true, append(d.fresh, w)
+	}
 }
 
 // zone is the state of a worker's zone.
