Hash a request's key in one place, for limits and for placement

admit.go and settings.Key each turned X-Key into a number, by two hashes. Store and settings tests pass.

--- a/internal/settings/names.go
+++ b/internal/settings/names.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"hash/fnv"
 
+	"github.com/cespare/xxhash/v2"
+
 	"birchfork/rules"
 )
 
@@ -114,9 +116,7 @@
 	if v == "" {
 		return 0
 	}
-	h := fnv.New64a()
-	h.Write([]byte(v))
-	return max(h.Sum64(), 1)
+	return max(xxhash.Sum64String(v), 1)
 }
 
 // Open gives a request an id.
--- a/internal/store/admit.go
+++ b/internal/store/admit.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"birchfork/internal/limits"
@@ -86,7 +85,7 @@
 	first := a.table.Find(&routes.Request{Class: settings.Plain(j.Class), Path: j.Path, Tenant: settings.Plain(j.Tenant), Method: j.Method})
 	var no *Limited
 	for _, i := range a.table.Chain(first) {
-		v := a.gate.Ask(since(now), limits.Ask{Route: i, Tenant: tenant, Key: keyOf(j.Key), Retry: j.Retry})
+		v := a.gate.Ask(since(now), limits.Ask{Route: i, Tenant: tenant, Key: settings.Key(j.Key), Retry: j.Retry})
 		if v.Reason == limits.Admitted {
 			h := hold{gate: a.gate, slot: v.Slot, class: &a.classes[class], landed: now, comeBack: a.table.Route(i).Limit.ComeBack}
 			return h, a.narrow[i], nil
@@ -98,9 +97,6 @@
 	return hold{}, rules.Narrow{}, no
 }
 
-// keyOf tells keys apart.
-func keyOf(key string) uint64 { return xxhash.Sum64String(key) }
-
 // release gives back what a request holds.
 func (h *hold) release(now rules.Time, end limits.End) {
 	if h.gate != nil {
