Share the stand-ins' accept loop, and compare whole events in the wire's test

The loop stood twice in the tests of internal/node. The wire's test compared a list of fields that did not hold the key: reading key 0 as none failed nothing, and does now.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -121,11 +121,13 @@
 	got               chan string
 }
 
-func newWorld(t *testing.T) *world {
+// standIns returns what starts a stand-in on loopback and tells its address: serve is called with each request of each
+// connection. At the test's end they listen no more, and it waits until all connections are closed.
+func standIns(t *testing.T) func(serve func(c net.Conn, in *bufio.Reader, r *http.Request)) string {
 	t.Helper()
-	w := &world{release: make(chan bool), got: make(chan string, 100)}
-	var served sync.WaitGroup
-	listen := func(serve func(c net.Conn, r *http.Request)) string {
+	served := new(sync.WaitGroup)
+	t.Cleanup(served.Wait)
+	return func(serve func(c net.Conn, in *bufio.Reader, r *http.Request)) string {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
@@ -147,30 +149,38 @@
 						if err != nil {
 							return
 						}
-						serve(c, r)
+						serve(c, in, r)
 					}
 				}()
 			}
 		}()
 		return l.Addr().String()
 	}
-	head := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-	chunk := func(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
-	w.worker = listen(func(c net.Conn, r *http.Request) {
+}
+
+// The answer's head and a chunk of its body, as workers and discovery write them.
+const answerHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	w := &world{release: make(chan bool), got: make(chan string, 100)}
+	standIn := standIns(t)
+	w.worker = standIn(func(c net.Conn, _ *bufio.Reader, r *http.Request) {
 		id := r.Header.Get("X-Request-Id")
 		w.got <- id
 		<-w.release
-		io.WriteString(c, head+chunk(fmt.Sprintf(`{"id":%q,"state":"done","result":"r"}`, id))+"0\r\n\r\n")
+		io.WriteString(c, answerHead+chunk(fmt.Sprintf(`{"id":%q,"state":"done","result":"r"}`, id))+"0\r\n\r\n")
 	})
-	w.discovery = listen(func(c net.Conn, r *http.Request) {
+	w.discovery = standIn(func(c net.Conn, _ *bufio.Reader, r *http.Request) {
 		entry := `{"name":"w","address":"` + w.worker + `","zone":"a","type":"big","group":0,"status":"up","weight":1.0}`
 		if r.URL.Query().Get("follow") == "" {
-			io.WriteString(c, head+chunk(`{"index":41,"snapshot":true,"endpoints":[`+entry+`]}`+"\n")+"0\r\n\r\n")
+			io.WriteString(c, answerHead+chunk(`{"index":41,"snapshot":true,"endpoints":[`+entry+`]}`+"\n")+"0\r\n\r\n")
 			return
 		}
-		io.WriteString(c, head+chunk(`{"index":41,"snapshot":false,"endpoints":[]}`+"\n"))
+		io.WriteString(c, answerHead+chunk(`{"index":41,"snapshot":false,"endpoints":[]}`+"\n"))
 	})
-	t.Cleanup(served.Wait)
 	return w
 }
 
--- a/internal/node/shape_test.go
+++ b/internal/node/shape_test.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -116,46 +115,14 @@
 func newCrew(t *testing.T, lazy ...bool) *crew {
 	t.Helper()
 	w := &crew{got: make(chan string, 1000), left: make(chan string, 1000)}
-	var served sync.WaitGroup
-	t.Cleanup(served.Wait)
-	head := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-	chunk := func(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
-	listen := func(serve func(c net.Conn, in *bufio.Reader, r *http.Request)) string {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { l.Close() })
-		go func() {
-			for {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				served.Add(1)
-				go func() {
-					defer served.Done()
-					defer c.Close()
-					in := bufio.NewReader(c)
-					for {
-						r, err := http.ReadRequest(in)
-						if err != nil {
-							return
-						}
-						serve(c, in, r)
-					}
-				}()
-			}
-		}()
-		return l.Addr().String()
-	}
+	standIn := standIns(t)
 	var entries []string
 	for i, slow := range lazy {
 		name := fmt.Sprintf("w%d", i)
-		addr := listen(func(c net.Conn, in *bufio.Reader, r *http.Request) {
+		addr := standIn(func(c net.Conn, in *bufio.Reader, r *http.Request) {
 			id := r.Header.Get("X-Request-Id")
 			w.got <- id + " " + name
-			io.WriteString(c, head)
+			io.WriteString(c, answerHead)
 			if slow {
 				in.Peek(1) // until the dispatcher closes the connection
 				w.left <- name
@@ -169,12 +136,12 @@
 		entries = append(entries, fmt.Sprintf(`{"name":%q,"address":%q,"zone":"a","type":"big","group":0,"status":"up","weight":1.0}`, name, addr))
 	}
 	list := `{"index":41,"snapshot":true,"endpoints":[` + strings.Join(entries, ",") + `]}` + "\n"
-	w.discovery = listen(func(c net.Conn, _ *bufio.Reader, r *http.Request) {
+	w.discovery = standIn(func(c net.Conn, _ *bufio.Reader, r *http.Request) {
 		if r.URL.Query().Get("follow") == "" {
-			io.WriteString(c, head+chunk(list)+"0\r\n\r\n")
+			io.WriteString(c, answerHead+chunk(list)+"0\r\n\r\n")
 			return
 		}
-		io.WriteString(c, head+chunk(`{"index":41,"snapshot":false,"endpoints":[]}`+"\n"))
+		io.WriteString(c, answerHead+chunk(`{"index":41,"snapshot":false,"endpoints":[]}`+"\n"))
 	})
 	return w
 }
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -71,6 +72,8 @@
 	}{
 		{"query", []string{q}, rules.Event{Kind: rules.Arrived, Class: 1, Work: 250 * rules.Millisecond, Retry: true,
 			Left: 4500 * rules.Millisecond, Slots: 2, Memory: 1.5}},
+		{"query with key 0", []string{"QUERY\tr-1\t0\t-\tsearch\t-\t4.5\t0\t-\t-\t-\t-\n"},
+			rules.Event{Kind: rules.Arrived, Tenant: -1, Left: 4500 * rules.Millisecond, Slots: 1, Key: 1}},
 		{"query without hint, tenant, slots", []string{"QUERY\tr-1\t0\t-\tsearch\t-\t4.5\t-\t-\t-\t-\t-\n"},
 			rules.Event{Kind: rules.Arrived, Tenant: -1, Left: 4500 * rules.Millisecond, Slots: 1}},
 		{"start", []string{pool, "MEMBERSHIP\twhole\t0\t7\n", q, "CHANGE\tr-1\t1\t10.0.0.2:7\t0\t-\n"},
@@ -101,20 +104,13 @@
 				t.Fatalf("workers %v", got.Workers)
 			}
 			got.Workers = nil
-			if !equal(got, c.want) {
+			if !reflect.DeepEqual(got, c.want) {
 				t.Fatalf("got  %+v\nwant %+v", got, c.want)
 			}
 		})
 	}
 }
 
-func equal(a, b rules.Event) bool {
-	return a.Kind == b.Kind && a.Request == b.Request && a.Attempt == b.Attempt && a.Worker == b.Worker &&
-		a.Result == b.Result && a.Final == b.Final && a.Elapsed == b.Elapsed && a.Done == b.Done && a.Class == b.Class &&
-		a.Tenant == b.Tenant && a.Work == b.Work && a.Left == b.Left && a.Slots == b.Slots && a.Memory == b.Memory &&
-		a.Retry == b.Retry && a.Version == b.Version && a.Stale == b.Stale && a.Report == b.Report
-}
-
 func TestListsAreResolvedInEventOrder(t *testing.T) {
 	second := "POOL\t0\t1\nROW\t10.0.0.3:7\tb\tnew-kind\t1\tderegistered\t1\t-\n"
 	msgs, _, err := readAll(batch(powerOn, pool, "MEMBERSHIP\tstale_copy\t0\t3\n", second, "MEMBERSHIP\tpatch\t0\t4\n"))
