Spread calls for the list over the fleet, and begin with one call in place of two

Calls that it turns away at once cost it nothing (the pace stayed), those that wait 2 s in vain cost a whole call (waiting longer than our 1 s brought no further answer). 80 calls a second keep all that are let in waiting in vain. Ruled out: a Retry-After (there is none), lists too large, our own time limit.

At fault: wire.watch.run (waits of 50 ms to 1 s without a random part, whatever the answer says), wire.watch.follow (a list and then a watch each time), and the closing of a watch's body, which read on for up to 5 s.

Now a status 429 or 503 is waited for over the fleet's size times 200 ms, at random, up to four times that while it lasts; other breaks are as before with a random part. A start goes on from the version of the list that it was started with, and a busy discovery from the newest: one call. The whole list is asked for once, later, spread alike: a version of another agent or an older index shows there, or in the first line, and brings the whole list.

--- a/internal/wire/discovery.go
+++ b/internal/wire/discovery.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -23,11 +24,13 @@
 const (
 	watchDial  = 1 * time.Second
 	watchQuiet = 5 * time.Second // an empty line is due every 2 s: on longer silence the watch is gone
-	askQuiet   = 1 * time.Second // the whole list comes at once
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 1 * time.Second // after a move the new list is due within 4 s
-	newsMost   = 8 << 20         // bytes of one line
-	sinceMost  = 1e14            // milliseconds: no start is that late
+
+	callTime    = 200 * time.Millisecond // of discovery for one call, by which a fleet's calls are spread
+	busyDoubles = 2                      // times that the spread doubles at the most
+	newsMost    = 8 << 20                // bytes of one line
+	sinceMost   = 1e14                   // milliseconds: no start is that late
 )
 
 // hosts is the list as discovery words it.
@@ -95,19 +98,28 @@
 	Store *store.Store
 	Log   logrus.FieldLogger
 
-	ctx context.Context
+	ctx   context.Context
+	fleet int
 
 	mu   sync.Mutex
 	now  *watch // whose word counts
 	next *watch // takes over with its whole list
 }
 
-// NewDiscovery follows the list at address until ctx ends.
-func NewDiscovery(ctx context.Context, s *store.Store, log logrus.FieldLogger, address string) *Discovery {
-	d := &Discovery{Store: s, Log: log, ctx: ctx}
+// Source is where the list comes from.
+type Source struct {
+	Address string
+	Fleet   int    // dispatchers that ask there, about; all are to be carried when they ask together
+	Known   bool   // the store has a list of this source's, ...
+	Index   uint64 // ... of this version
+}
+
+// NewDiscovery follows the list at a source until ctx ends.
+func NewDiscovery(ctx context.Context, s *store.Store, log logrus.FieldLogger, from Source) *Discovery {
+	d := &Discovery{Store: s, Log: log, ctx: ctx, fleet: max(from.Fleet, 1)}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.now = d.watch(address)
+	d.now = d.watch(from.Address, from.Known, from.Index)
 	return d
 }
 
@@ -121,7 +133,7 @@
 		d.next = nil
 	}
 	if address != d.now.address {
-		d.next = d.watch(address)
+		d.next = d.watch(address, false, 0)
 	}
 }
 
@@ -132,9 +144,10 @@
 	return d.now.address
 }
 
-func (d *Discovery) watch(address string) *watch {
+func (d *Discovery) watch(address string, known bool, index uint64) *watch {
 	ctx, stop := context.WithCancel(d.ctx)
-	w := &watch{address: address, of: d, quiet: watchQuiet, stop: stop}
+	w := &watch{address: address, of: d, quiet: watchQuiet, stop: stop, resume: known, based: known, index: index,
+		spread: spread{span: time.Duration(d.fleet) * callTime, random: rand.Float64}}
 	go w.run(ctx)
 	return w
 }
@@ -163,50 +176,155 @@
 	of      *Discovery
 	quiet   time.Duration // silent for longer it is given up
 	stop    context.CancelFunc
+	spread  spread
+	resume  bool // the next call may go on from index
+
+	mu    sync.Mutex // two calls may be open: the watch and the check of its first version
+	based bool       // the store's list is of this address ...
+	index uint64     // ... and of this version
 }
 
-// run follows the list until ctx ends. Where the watch breaks or falls silent it begins again, backed off; the list that
+var errOlder = errors.New("a version older than the newest came")
+
+// errBusy is an answer that says that discovery has more calls than it can take.
+type errBusy int
+
+func (e errBusy) Error() string { return "status " + strconv.Itoa(int(e)) }
+
+// spread draws the waits between calls. Dispatchers that were cut off together must not come back together: what is too
+// much at once stays too much, as calls that waited in vain cost discovery as much as others.
+type spread struct {
+	span   time.Duration // over which the calls of the whole fleet fit
+	random func() float64
+	broken int // failures in a row
+	busy   int // ... that said that there are too many calls
+}
+
+// after is how long to wait after a call that ended with err; told says that it had brought anything.
+func (s *spread) after(told bool, err error) time.Duration {
+	if told {
+		s.broken, s.busy = 0, 0
+	}
+	var busy errBusy
+	if errors.As(err, &busy) {
+		most := max(s.span, retryMost) << min(s.busy, busyDoubles)
+		s.busy++
+		return time.Duration((0.25 + 0.75*s.random()) * float64(most))
+	}
+	most := min(retryFirst<<min(s.broken, 10), retryMost)
+	s.broken++
+	return time.Duration((0.5 + 0.5*s.random()) * float64(most))
+}
+
+// check is how long after a watch was resumed its whole list is asked for.
+func (s *spread) check() time.Duration {
+	return time.Duration((0.5 + 0.5*s.random()) * float64(max(s.span, retryMost)))
+}
+
+// run follows the list until ctx ends. Where the watch breaks or falls silent it begins again, after a wait; the list that
 // the store has stays meanwhile.
 func (w *watch) run(ctx context.Context) {
-	wait := retryFirst
 	for ctx.Err() == nil {
 		told, err := w.follow(ctx)
 		if ctx.Err() != nil {
 			return
 		}
+		var busy errBusy
+		w.resume = errors.As(err, &busy)
 		w.of.Store.Counters.WatchBroke.Add(1)
-		if told {
-			wait = retryFirst
-		}
+		wait := w.spread.after(told, err)
 		w.of.Log.WithError(err).WithFields(logrus.Fields{"discovery": w.address, "again_in": wait}).
 			Warn("the watch on discovery broke")
 		select {
 		case <-ctx.Done():
 		case <-time.After(wait):
 		}
-		wait = min(2*wait, retryMost)
 	}
 }
 
-// follow takes the whole list and then its changes; it tells whether that brought anything. It begins with the whole
-// list each time: a version that another agent has told, or the same one before it was started again, means nothing.
+// follow takes the list and its changes; it tells whether that brought anything. It begins with the whole list, as a
+// version that another agent has told, or the same one before it was started again, means nothing. Two exceptions: the
+// first watch after our start goes on from the list that we were started with, and one that discovery was too busy for
+// from the newest. They need one call in place of two, and see later that their first version meant something.
 func (w *watch) follow(ctx context.Context) (told bool, err error) {
-	var index uint64
-	err = w.ask(ctx, min(w.quiet, askQuiet), "/discovery/hosts", func(l store.List) error {
-		l.Whole, index = true, l.Index
-		err := w.of.take(w, l)
-		told = err == nil
+	ctx, stop := context.WithCancel(ctx)
+	var checks sync.WaitGroup
+	defer checks.Wait() // guards against the word of a check that comes after the next watch's
+	defer stop()
+	w.mu.Lock()
+	resumed := w.resume && w.based
+	w.mu.Unlock()
+	if !resumed {
+		if told, err = w.whole(ctx, true); !told || !errors.Is(err, io.EOF) {
+			return told, err
+		}
+	}
+	w.mu.Lock()
+	target := "/discovery/hosts?follow=1&since=" + strconv.FormatUint(w.index, 10)
+	w.mu.Unlock()
+	first := true
+	err = w.ask(ctx, w.quiet, target, func(l store.List) error {
+		if first && resumed && !l.Whole {
+			checks.Go(func() { w.check(ctx, stop) })
+		}
+		err := w.take(l, first)
+		told, first = told || err == nil, false
 		return err
 	})
-	if !errors.Is(err, io.EOF) || !told {
-		return told, err
-	}
-	err = w.ask(ctx, w.quiet, "/discovery/hosts?follow=1&since="+strconv.FormatUint(index, 10), func(l store.List) error {
-		return w.of.take(w, l)
+	return told, err
+}
+
+// whole asks for the whole list; it tells whether one was taken. Where anew is set it counts whatever its version is.
+func (w *watch) whole(ctx context.Context, anew bool) (told bool, err error) {
+	err = w.ask(ctx, w.quiet, "/discovery/hosts", func(l store.List) error {
+		l.Whole = true
+		if anew {
+			w.mu.Lock()
+			w.index = 0
+			w.mu.Unlock()
+		}
+		err := w.take(l, true)
+		told = told || err == nil
+		return err
 	})
 	return told, err
 }
 
+// take takes a line over. Where it is older than the newest and has to go on from it, the versions meant nothing.
+func (w *watch) take(l store.List, first bool) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if l.Index < w.index {
+		if first {
+			return fmt.Errorf("%w: %d after %d", errOlder, l.Index, w.index)
+		}
+		return nil // a check has told more meanwhile
+	}
+	if err := w.of.take(w, l); err != nil {
+		return err
+	}
+	w.based, w.index = w.based || l.Whole, l.Index
+	return nil
+}
+
+// check asks for the whole list some time after a watch was resumed, until it has it: nothing else shows that the watch's
+// first version meant to this agent what it meant to us. It ends the watch where that is not so.
+func (w *watch) check(ctx context.Context, stop func()) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(w.spread.check()):
+		}
+		switch told, err := w.whole(ctx, false); {
+		case told:
+			return
+		case errors.Is(err, errOlder):
+			stop()
+		}
+	}
+}
+
 // ask sends one request and hands each line of the answer over, until one cannot be read or none has come for quiet. It
 // returns an error in any case: io.EOF where the answer ended in order.
 func (w *watch) ask(ctx context.Context, quiet time.Duration, target string, take func(store.List) error) error {
@@ -229,8 +347,12 @@
 	if err != nil {
 		return fmt.Errorf("the answer's head: %w", err)
 	}
-	defer res.Body.Close()
-	if res.StatusCode != http.StatusOK {
+	// The body is left open: closing it would read what is left of a watch. It goes with the connection.
+	switch res.StatusCode {
+	case http.StatusOK:
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return errBusy(res.StatusCode)
+	default:
 		return fmt.Errorf("status %d", res.StatusCode)
 	}
 	lines := bufio.NewReader(res.Body)
--- a/internal/wire/discovery_test.go
+++ b/internal/wire/discovery_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -92,14 +93,16 @@
 			if err != nil {
 				return
 			}
-			r, err := http.ReadRequest(bufio.NewReader(c))
-			if err == nil {
-				asked <- r.Method + " " + r.RequestURI
-				if i < len(watches) {
-					watches[i](c)
+			go func() { // a watch and a check may be open together
+				defer c.Close()
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err == nil {
+					asked <- r.Method + " " + r.RequestURI
+					if i < len(watches) {
+						watches[i](c)
+					}
 				}
-			}
-			c.Close()
+			}()
 		}
 	}()
 	return l.Addr().String(), asked
@@ -116,7 +119,7 @@
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
-	return NewDiscovery(ctx, s, quiet(), addr)
+	return NewDiscovery(ctx, s, quiet(), Source{Address: addr, Fleet: 1})
 }
 
 // Each time a watch begins it takes the whole list first: the version that it had may mean nothing to a new agent.
@@ -215,9 +218,136 @@
 	release := make(chan bool)
 	defer close(release)
 	addr, _ := agent(t, func(c net.Conn) { io.WriteString(c, okHead); <-release })
-	w := &watch{address: addr, of: &Discovery{Store: s, Log: quiet()}, quiet: 30 * time.Millisecond}
+	w := &watch{address: addr, spread: spread{random: rand.Float64}, of: &Discovery{Store: s, Log: quiet()}, quiet: 30 * time.Millisecond}
 	told, err := w.follow(context.Background())
 	if told || err == nil || !strings.Contains(err.Error(), "timeout") {
 		t.Fatalf("%v, %v", told, err)
 	}
 }
+
+// busyAgent is a discovery in virtual time that carries one call after the other and lets each wait so long at the most: a
+// call that has waited in vain costs it as much as one that was answered.
+type busyAgent struct {
+	each, patience time.Duration
+	waiting        int
+	free           time.Duration // when it has carried all that it has let in
+}
+
+func (a *busyAgent) call(now time.Duration) (end time.Duration, err error) {
+	if a.free-now >= time.Duration(a.waiting)*a.each {
+		return now + time.Millisecond, errBusy(503)
+	}
+	a.free = max(a.free, now) + a.each
+	if a.free-now > a.patience {
+		return now + a.patience, errBusy(503)
+	}
+	return a.free, nil
+}
+
+// Dispatchers that are cut off in the same moment keep discovery from answering any of them if they come back together.
+func TestWatchesThatBreakTogetherAreAllTold(t *testing.T) {
+	for _, fleet := range []int{3, 20, 80, 300} {
+		a := busyAgent{each: 180 * time.Millisecond, patience: 2 * time.Second, waiting: 26}
+		r := rand.New(rand.NewPCG(1, uint64(fleet)))
+		type caller struct {
+			at time.Duration
+			spread
+		}
+		callers := make([]caller, fleet)
+		for i := range callers {
+			callers[i].spread = spread{span: time.Duration(fleet) * callTime, random: r.Float64}
+			callers[i].at = callers[i].after(true, io.EOF)
+		}
+		told, calls, last := 0, 0, time.Duration(0)
+		for told < fleet && calls < 100*fleet {
+			first := &callers[0]
+			for i := range callers {
+				if callers[i].at < first.at {
+					first = &callers[i]
+				}
+			}
+			end, err := a.call(first.at)
+			calls++
+			if err == nil {
+				told++
+				last = max(last, end)
+				first.at = time.Hour
+			} else {
+				first.at = end + first.after(false, err)
+			}
+		}
+		if bound := 5 * max(time.Duration(fleet)*callTime, time.Second); told < fleet || last > bound || calls > 5*fleet {
+			t.Errorf("%d dispatchers: %d told by %v after %d calls, want all by %v", fleet, told, last, calls, bound)
+		}
+	}
+}
+
+func TestWaitsAreDrawnApart(t *testing.T) {
+	s := spread{span: 80 * callTime, random: func() float64 { return 0 }}
+	high := spread{span: 80 * callTime, random: func() float64 { return 1 }}
+	for i, want := range []struct {
+		told      bool
+		err       error
+		low, most time.Duration
+	}{
+		{true, io.EOF, 25 * time.Millisecond, 50 * time.Millisecond},
+		{false, io.EOF, 50 * time.Millisecond, 100 * time.Millisecond},
+		{false, errBusy(503), 4 * time.Second, 16 * time.Second},
+		{false, fmt.Errorf("asking: %w", errBusy(429)), 8 * time.Second, 32 * time.Second},
+		{false, errBusy(503), 16 * time.Second, 64 * time.Second},
+		{false, errBusy(503), 16 * time.Second, 64 * time.Second},
+		{true, errBusy(503), 4 * time.Second, 16 * time.Second},
+		{false, io.EOF, 25 * time.Millisecond, 50 * time.Millisecond},
+	} {
+		if low, most := s.after(want.told, want.err), high.after(want.told, want.err); low != want.low || most != want.most {
+			t.Errorf("wait %d: %v to %v, want %v to %v", i, low, most, want.low, want.most)
+		}
+	}
+}
+
+// One call a start in place of two, and one later that shows that the version meant something.
+func TestStartGoesOnFromTheKnownList(t *testing.T) {
+	s := newStore(t, 0)
+	stay := make(chan bool)
+	defer close(stay)
+	busy := func(c net.Conn) { io.WriteString(c, "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n") }
+	addr, asked := agent(t,
+		busy,
+		func(c net.Conn) { io.WriteString(c, okHead+news(9, false, entryUp)); <-stay },
+		busy, // the check is not answered, and comes again
+		func(c net.Conn) { io.WriteString(c, okHead+news(9, true)+"0\r\n\r\n") },
+	)
+	NewDiscovery(t.Context(), s, quiet(), Source{Address: addr, Fleet: 1, Known: true, Index: 7})
+	want := []string{"?follow=1&since=7", "?follow=1&since=7", "", ""}
+	for _, want := range want {
+		if got := <-asked; got != "GET /discovery/hosts"+want {
+			t.Errorf("asked %q, want %q", got, want)
+		}
+	}
+	until(t, "the check is taken", func() bool { some, _ := s.Ready(); return !some && s.Counters.News.Load() == 2 })
+}
+
+// A version of another agent, or of the same one before it was started again, means nothing.
+func TestVersionThatMeansNothingBringsTheWholeList(t *testing.T) {
+	whole := func(c net.Conn) { io.WriteString(c, okHead+news(3, true, entryUp)+"0\r\n\r\n") }
+	lasting := func(line string) func(c net.Conn) { // a watch that ends only with its taker
+		return func(c net.Conn) {
+			_, err := io.WriteString(c, okHead+line)
+			for ; err == nil; _, err = io.WriteString(c, chunk("\n")) {
+				time.Sleep(20 * time.Millisecond)
+			}
+		}
+	}
+	for name, watches := range map[string][]func(c net.Conn){
+		"by the watch": {lasting(news(2, false))},
+		"by the check": {lasting(news(50, false)), whole}, // it tells nothing where it does not know the version
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStore(t, 0)
+			addr, asked := agent(t, append(watches, whole, lasting(news(3, false)))...)
+			NewDiscovery(t.Context(), s, quiet(), Source{Address: addr, Fleet: 1, Known: true, Index: 50})
+			until(t, "the whole list is taken", func() bool { some, _ := s.Ready(); return some })
+			until(t, "the watch goes on from it", func() bool { return <-asked == "GET /discovery/hosts?follow=1&since=3" })
+		})
+	}
+}
