Send jobs that late starts would refuse to cold workers that are drawn

Seen, on herd+vast after the release, summed over 80 dispatchers: 60 warm slots hold 100 queued jobs, 146 cold ones run 42 and queue none, and three landings in four are refused by late starts before they draw anything. So cold workers get the fewer draws the more they are needed.

At fault: land, which refuses before any draw. A job that the chance of refusing takes now draws its two picks first and goes to a cold one that counts and has room; else it is refused at once as before. The bound on cold workers stays: first draws of first tries.

Test: with all refused, first tries go to cold workers or are refused, repeats are refused (0 sent with the guard out).

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -3,7 +3,10 @@
 
 package rules
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // Constants: value, unit, reason. docs/design.md tells how sensitive the results are to each.
 const (
@@ -221,13 +224,26 @@
 	}
 	d.press(0)
 	// Guards against queues in which all end late, at the workers or here, and waits that come to nothing.
-	if d.rng.Float64() < math.Pow(d.shed, shedSkew*part) || d.now+d.backlog(j) > d.until(j) {
+	switch {
+	case d.now+d.backlog(j) > d.until(j):
 		d.finish(j)
-	} else {
+	case d.rng.Float64() >= math.Pow(d.shed, shedSkew*part):
 		d.hold(j)
+	case !d.sendCold(j):
+		d.finish(j)
 	}
 }
 
+// sendCold sends a job that would be refused to a cold worker, if one is drawn and has room: the queues that
+// refuse it stand at the warm ones. Without, cold workers get the fewer jobs the more they are needed.
+func (d *Dispatcher) sendCold(j *job) bool {
+	d.enlist(j)
+	d.draw(j, pickCount)
+	warm := func(w *worker) bool { return d.warmth(w) >= 1 }
+	j.picks = slices.DeleteFunc(j.picks, warm)
+	return d.place(j)
+}
+
 // hold joins the lists of random ready workers and sends at once where one of them has room.
 func (d *Dispatcher) hold(j *job) {
 	d.enlist(j)
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1351,3 +1351,34 @@
 		t.Errorf("after %v runs of 300 and 100 ms the kinds' paces are %.2f and %.2f", seen, slow, quick)
 	}
 }
+
+// While late starts at warm workers have all refused, cold ones go on getting the draws that count, and nothing else is sent.
+func TestRefusedJobsGoToColdWorkers(t *testing.T) {
+	k := newDesk(t, settings())
+	list := fleet(8)
+	for i := range 4 {
+		list[i].StartedAt = k.now - 15*Second
+	}
+	k.do(Event{Kind: ListSnapshot, Workers: list, Version: 1})
+	cold, refused := 0, 0
+	for i := range 200 {
+		k.d.shed, k.d.shedAt = 1, k.now
+		retry := i%2 == 1
+		acts := k.do(Event{Kind: Arrived, Request: RequestID(i), Tenant: -1, Work: 20 * ms, Left: 5 * Second, Slots: 1, Retry: retry})
+		if len(acts) != 1 {
+			t.Fatalf("got %v, want one action for a landing", acts)
+		}
+		switch a := acts[0]; {
+		case a.Kind == Refuse:
+			refused++
+		case a.Kind == Send && a.Worker < 4 && !retry:
+			cold++
+			k.run(RequestID(i), 0)
+		default:
+			t.Fatalf("got %v (repeat: %v), want a refusal or a first try sent to a cold worker", a, retry)
+		}
+	}
+	if cold < 30 || refused < 100 {
+		t.Errorf("%d went to cold workers and %d were refused", cold, refused)
+	}
+}
