--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -183,7 +183,7 @@
 	ctx, quit := context.WithCancel(context.Background())
 	n.quit = quit
 	n.discovery = wire.NewDiscovery(ctx, n.store, log, wire.Source{
-		Address: c.Discovery, Fleet: c.Settings.GroupSize, Known: len(c.Known.Entries) > 0, Index: c.Known.Index,
+		Address: c.Discovery, Fleet: c.Settings.GroupSize, Known: len(c.Known.Entries) > 0, Index: c.Known.Index, Seed: c.Seed,
 	})
 	go n.tick(ctx)
 	go func() { n.served <- n.server.Serve(known.Listen(l)) }()
--- a/internal/store/counters.go
+++ b/internal/store/counters.go
@@ -38,6 +38,7 @@
 	BadNews        atomic.Int64 // malformed lines and entries from discovery
 	News           atomic.Int64
 	WatchBroke     atomic.Int64
+	ListBusy       atomic.Int64 // calls for the list that discovery had no room for
 	ListMoves      atomic.Int64 // lists taken over from another address
 	Reloads        atomic.Int64 // configurations read again ...
 	BadReloads     atomic.Int64 // ... and those not taken, as they made no sense
@@ -77,7 +78,7 @@
 		"unwritten": &c.Unwritten, "sent": &c.Sent, "dials": &c.Dials, "reused": &c.Reused,
 		"stale_conns": &c.StaleConns, "no_descriptor": &c.NoDescriptor, "client_conns": &c.ClientConns,
 		"clients_cut": &c.ClientsCut, "bad_runner_lines": &c.BadRunnerLines, "bad_news": &c.BadNews, "news": &c.News,
-		"watch_broke": &c.WatchBroke, "list_moves": &c.ListMoves, "reloads": &c.Reloads, "bad_reloads": &c.BadReloads,
+		"watch_broke": &c.WatchBroke, "list_busy": &c.ListBusy, "list_moves": &c.ListMoves, "reloads": &c.Reloads, "bad_reloads": &c.BadReloads,
 		"panics": &c.Panics, "faults": &c.Faults, "unspoken": &c.Unspoken, "stalls": &c.Stalls,
 	} {
 		f[name] = v.Load()
--- a/internal/wire/discovery.go
+++ b/internal/wire/discovery.go
@@ -104,6 +104,16 @@
 	mu   sync.Mutex
 	now  *watch // whose word counts
 	next *watch // takes over with its whole list
+
+	drawing sync.Mutex
+	source  *rand.Rand
+}
+
+// random draws from 0 to 1.
+func (d *Discovery) random() float64 {
+	d.drawing.Lock()
+	defer d.drawing.Unlock()
+	return d.source.Float64()
 }
 
 // Source is where the list comes from.
@@ -112,11 +122,12 @@
 	Fleet   int    // dispatchers that ask there, about; all are to be carried when they ask together
 	Known   bool   // the store has a list of this source's, ...
 	Index   uint64 // ... of this version
+	Seed    uint64 // of the waits, another at each dispatcher
 }
 
 // NewDiscovery follows the list at a source until ctx ends.
 func NewDiscovery(ctx context.Context, s *store.Store, log logrus.FieldLogger, from Source) *Discovery {
-	d := &Discovery{Store: s, Log: log, ctx: ctx, fleet: max(from.Fleet, 1)}
+	d := &Discovery{Store: s, Log: log, ctx: ctx, fleet: max(from.Fleet, 1), source: rand.New(rand.NewPCG(from.Seed, 2))}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.now = d.watch(from.Address, from.Known, from.Index)
@@ -147,7 +158,7 @@
 func (d *Discovery) watch(address string, known bool, index uint64) *watch {
 	ctx, stop := context.WithCancel(d.ctx)
 	w := &watch{address: address, of: d, quiet: watchQuiet, stop: stop, resume: known, based: known, index: index,
-		spread: spread{span: time.Duration(d.fleet) * callTime, random: rand.Float64}}
+		spread: spread{span: time.Duration(d.fleet) * callTime, random: d.random}}
 	go w.run(ctx)
 	return w
 }
@@ -187,9 +198,24 @@
 var errOlder = errors.New("a version older than the newest came")
 
 // errBusy is an answer that says that discovery has more calls than it can take.
-type errBusy int
+type errBusy struct {
+	status int
+	after  time.Duration // to come back no sooner, as it asks; 0: it does not
+}
 
-func (e errBusy) Error() string { return "status " + strconv.Itoa(int(e)) }
+func (e errBusy) Error() string { return "status " + strconv.Itoa(e.status) }
+
+// busyMost bounds what Retry-After may ask for, in times the spread: it may be absurd.
+const busyMost = 4
+
+// comeBackAfter reads Retry-After, in whole or decimal seconds; 0 where it is missing or makes no sense.
+func comeBackAfter(h http.Header) time.Duration {
+	seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	if err != nil || !(seconds > 0) {
+		return 0
+	}
+	return time.Duration(min(seconds, time.Hour.Seconds()) * float64(time.Second))
+}
 
 // spread draws the waits between calls. Dispatchers that were cut off together must not come back together: what is too
 // much at once stays too much, as calls that waited in vain cost discovery as much as others.
@@ -207,9 +233,11 @@
 	}
 	var busy errBusy
 	if errors.As(err, &busy) {
-		most := max(s.span, retryMost) << min(s.busy, busyDoubles)
+		span := max(s.span, retryMost)
+		most := span << min(s.busy, busyDoubles)
 		s.busy++
-		return time.Duration((0.25 + 0.75*s.random()) * float64(most))
+		// What it asks for is the same for all: the spread comes on top.
+		return min(busy.after, busyMost*span) + time.Duration((0.25+0.75*s.random())*float64(most))
 	}
 	most := min(retryFirst<<min(s.broken, 10), retryMost)
 	s.broken++
@@ -351,7 +379,8 @@
 	switch res.StatusCode {
 	case http.StatusOK:
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-		return errBusy(res.StatusCode)
+		w.of.Store.Counters.ListBusy.Add(1)
+		return errBusy{res.StatusCode, comeBackAfter(res.Header)}
 	default:
 		return fmt.Errorf("status %d", res.StatusCode)
 	}
--- a/internal/wire/discovery_test.go
+++ b/internal/wire/discovery_test.go
@@ -235,11 +235,11 @@
 
 func (a *busyAgent) call(now time.Duration) (end time.Duration, err error) {
 	if a.free-now >= time.Duration(a.waiting)*a.each {
-		return now + time.Millisecond, errBusy(503)
+		return now + time.Millisecond, errBusy{status: 503}
 	}
 	a.free = max(a.free, now) + a.each
 	if a.free-now > a.patience {
-		return now + a.patience, errBusy(503)
+		return now + a.patience, errBusy{status: 503}
 	}
 	return a.free, nil
 }
@@ -292,11 +292,13 @@
 	}{
 		{true, io.EOF, 25 * time.Millisecond, 50 * time.Millisecond},
 		{false, io.EOF, 50 * time.Millisecond, 100 * time.Millisecond},
-		{false, errBusy(503), 4 * time.Second, 16 * time.Second},
-		{false, fmt.Errorf("asking: %w", errBusy(429)), 8 * time.Second, 32 * time.Second},
-		{false, errBusy(503), 16 * time.Second, 64 * time.Second},
-		{false, errBusy(503), 16 * time.Second, 64 * time.Second},
-		{true, errBusy(503), 4 * time.Second, 16 * time.Second},
+		{false, errBusy{status: 503}, 4 * time.Second, 16 * time.Second},
+		{false, fmt.Errorf("asking: %w", errBusy{status: 429}), 8 * time.Second, 32 * time.Second},
+		{false, errBusy{status: 503}, 16 * time.Second, 64 * time.Second},
+		{false, errBusy{status: 503}, 16 * time.Second, 64 * time.Second},
+		{true, errBusy{status: 503, after: time.Second}, 5 * time.Second, 17 * time.Second},
+		{true, errBusy{status: 503, after: time.Hour}, 68 * time.Second, 80 * time.Second},
+		{true, errBusy{status: 503}, 4 * time.Second, 16 * time.Second},
 		{false, io.EOF, 25 * time.Millisecond, 50 * time.Millisecond},
 	} {
 		if low, most := s.after(want.told, want.err), high.after(want.told, want.err); low != want.low || most != want.most {
@@ -351,3 +353,14 @@
 		})
 	}
 }
+
+func TestRetryAfterIsReadWhereItMakesSense(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"": 0, "2": 2 * time.Second, "0.25": 250 * time.Millisecond, "-3": 0, "0": 0, "soon": 0, "NaN": 0, "1e300": time.Hour,
+		"+Inf": time.Hour, "Wed, 21 Oct 2026 07:28:00 GMT": 0,
+	} {
+		if got := comeBackAfter(http.Header{"Retry-After": {text}}); got != want {
+			t.Errorf("Retry-After %q: %v, want %v", text, got, want)
+		}
+	}
+}
