--- a/internal/wire/discovery_test.go
+++ b/internal/wire/discovery_test.go
@@ -364,3 +364,39 @@
 		}
 	}
 }
+
+// Whatever discovery answers in place of its list, the last good one stays, and a drain told later still counts.
+func TestBadAnswersLeaveTheLastGoodList(t *testing.T) {
+	for name, bad := range map[string]func(c net.Conn){
+		"closes without a word": func(net.Conn) {},
+		"turns away":            func(c net.Conn) { io.WriteString(c, "HTTP/1.1 404 x\r\nContent-Length: 0\r\n\r\n") },
+		"half a list": func(c net.Conn) {
+			io.WriteString(c, okHead+chunk(`{"index":6,"snapshot":true,"endpoints":[`)+"0\r\n\r\n")
+		},
+		"breaks within a line":   func(c net.Conn) { io.WriteString(c, okHead+"ff\r\n{\"index\":6,") },
+		"a head that is no HTTP": func(c net.Conn) { io.WriteString(c, "SSH-2.0-agent\r\n") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStore(t, 0)
+			l, _, err := DecodeList([]byte(`{"index":5,"snapshot":true,"endpoints":[` + entryUp + `]}`))
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.News(l)
+			stay, went := make(chan bool), make(chan bool)
+			defer close(stay)
+			addr, _ := agent(t, bad, bad, func(c net.Conn) {
+				close(went)
+				<-stay
+				io.WriteString(c, okHead+news(6, true, draining(entryUp))+"0\r\n\r\n")
+			})
+			NewDiscovery(t.Context(), s, quiet(), Source{Address: addr, Fleet: 1, Known: true, Index: 5})
+			<-went
+			if some, _ := s.Ready(); !some || s.Counters.WatchBroke.Load() != 2 {
+				t.Fatalf("after two bad answers: ready %v, %v", some, s.Counters.Fields())
+			}
+			stay <- true
+			until(t, "the drain is told", func() bool { some, _ := s.Ready(); return !some })
+		})
+	}
+}
