Check resumed lists late and backed off, and draw nothing for refused jobs where none is cold

Each of 80 dispatchers asked for its whole list 8 to 16 s after it had resumed a watch, and once more as soon after each refusal: at 186 ms a list that is 15 s of discovery's time, just when others need theirs.

A job that late starts refuse drew two picks also where no worker is cold, which used up a lost zone's trial, and where notes tell, which cost notes whose answer came too late. It does so now only while a listed worker is cold and no notes tell.

The bound on Retry-After is the waits' own, no second constant.

Test: the bounds of a check's wait.

--- a/internal/wire/discovery.go
+++ b/internal/wire/discovery.go
@@ -205,9 +205,6 @@
 
 func (e errBusy) Error() string { return "status " + strconv.Itoa(e.status) }
 
-// busyMost bounds what Retry-After may ask for, in times the spread: it may be absurd.
-const busyMost = 4
-
 // comeBackAfter reads Retry-After, in whole or decimal seconds; 0 where it is missing or makes no sense.
 func comeBackAfter(h http.Header) time.Duration {
 	seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
@@ -236,17 +233,18 @@
 		span := max(s.span, retryMost)
 		most := span << min(s.busy, busyDoubles)
 		s.busy++
-		// What it asks for is the same for all: the spread comes on top.
-		return min(busy.after, busyMost*span) + time.Duration((0.25+0.75*s.random())*float64(most))
+		// What it asks for is the same for all: the spread comes on top. It may be absurd.
+		return min(busy.after, span<<busyDoubles) + time.Duration((0.25+0.75*s.random())*float64(most))
 	}
 	most := min(retryFirst<<min(s.broken, 10), retryMost)
 	s.broken++
 	return time.Duration((0.5 + 0.5*s.random()) * float64(most))
 }
 
-// check is how long after a watch was resumed its whole list is asked for.
+// check is how long after a watch was resumed its whole list is asked for: late, as it mostly confirms what is known, and
+// a fleet's checks must leave discovery its time for those that know nothing.
 func (s *spread) check() time.Duration {
-	return time.Duration((0.5 + 0.5*s.random()) * float64(max(s.span, retryMost)))
+	return time.Duration((0.5 + 0.5*s.random()) * float64(max(s.span, retryMost)<<busyDoubles))
 }
 
 // run follows the list until ctx ends. Where the watch breaks or falls silent it begins again, after a wait; the list that
@@ -338,18 +336,21 @@
 // check asks for the whole list some time after a watch was resumed, until it has it: nothing else shows that the watch's
 // first version meant to this agent what it meant to us. It ends the watch where that is not so.
 func (w *watch) check(ctx context.Context, stop func()) {
-	for ctx.Err() == nil {
+	again := w.spread // its own count of failures
+	for wait := again.check(); ; {
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(w.spread.check()):
+		case <-time.After(wait):
 		}
-		switch told, err := w.whole(ctx, false); {
+		told, err := w.whole(ctx, false)
+		switch {
 		case told:
 			return
 		case errors.Is(err, errOlder):
 			stop()
 		}
+		wait = again.after(false, err)
 	}
 }
 
--- a/internal/wire/discovery_test.go
+++ b/internal/wire/discovery_test.go
@@ -285,6 +285,10 @@
 func TestWaitsAreDrawnApart(t *testing.T) {
 	s := spread{span: 80 * callTime, random: func() float64 { return 0 }}
 	high := spread{span: 80 * callTime, random: func() float64 { return 1 }}
+	// At a carried call in 186 ms for 80, checks take discovery 15 of these seconds: it has room for others beside them.
+	if low, most := s.check(), high.check(); low != 32*time.Second || most != 64*time.Second {
+		t.Errorf("a check after %v to %v, want 32 s to 64 s", low, most)
+	}
 	for i, want := range []struct {
 		told      bool
 		err       error
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -237,6 +237,9 @@
 // sendCold sends a job that would be refused to a cold worker, if one is drawn and has room: the queues that
 // refuse it stand at the warm ones. Without, cold workers get the fewer jobs the more they are needed.
 func (d *Dispatcher) sendCold(j *job) bool {
+	if d.now >= d.coldTo || d.s.CanTell { // none is cold, or a draw costs notes that would come too late
+		return false
+	}
 	d.enlist(j)
 	d.draw(j, pickCount)
 	warm := func(w *worker) bool { return d.warmth(w) >= 1 }
--- a/rules/state.go
+++ b/rules/state.go
@@ -374,6 +374,7 @@
 	ring     []point   // of the workers listed when it last grew, and some that have left since
 	fresh    []*worker // whose points are not in it yet
 	weight   float64   // mean of the ready ones' listed weights
+	coldTo   Time      // when all ready ones are warm
 	doubted  int       // ready workers that are distrusted
 	jobs     []*job    // by id
 	pool     []*job
@@ -690,13 +691,16 @@
 	for i := range e.Workers {
 		d.entry(&e.Workers[i])
 	}
-	d.ready, d.near, d.weight, d.doubted = d.ready[:0], d.near[:0], 0, 0
+	d.ready, d.near, d.weight, d.doubted, d.coldTo = d.ready[:0], d.near[:0], 0, 0, 0
 	for _, w := range d.workers {
 		if w == nil || !w.isReady() {
 			continue
 		}
 		d.ready = append(d.ready, w)
 		d.weight += w.Weight
+		if w.StartedAt > 0 {
+			d.coldTo = max(d.coldTo, w.StartedAt+d.s.WarmWithin)
+		}
 		if w.distrust {
 			d.doubted++
 		}
