Open a door for operators, and keep runners out that they take out by hand

internal/admin answers the three calls on a listener of its own; out by hand is a fact beside the list in the module (TakenOut, PutBack) and in the store, which checks it right before the first byte and counts each call out, so that what was ordered before does not go out after. A return counts as a start at the call back.

Tests seen to fail with the guard taken out: list state over the ban, cold return, held jobs moved, first-byte check, old words, connections over the limit, owed answers.

--- a/cmd/birchfork/lab.go
+++ b/cmd/birchfork/lab.go
@@ -212,7 +212,7 @@
 	if l.Plant != "" {
 		return planted.Run(l.Config, l.Plant)
 	}
-	c, err := node.Load(l.Config)
+	c, err := node.Load(l.Config, "")
 	if err != nil {
 		return err
 	}
--- a/cmd/birchfork/main.go
+++ b/cmd/birchfork/main.go
@@ -27,13 +27,14 @@
 type serve struct {
 	Config   string `help:"The configuration, a JSON file." env:"EDGE_CONFIG" required:"" placeholder:"FILE"`
 	Operator string `help:"The operator's own file, TOML." env:"BIRCHFORK_OPERATOR" placeholder:"FILE"`
+	Admin    string `name:"operator-address" help:"The operators' door, host:port, in place of the configuration's." env:"EDGE_OPERATOR" placeholder:"ADDRESS"`
 	LogLevel string `help:"What is logged: debug, info, warn or error." enum:"debug,info,warn,error" default:"info"`
 	Profile  string `name:"cpu-profile" help:"Write a CPU profile of the whole run to this file." placeholder:"FILE"`
 }
 
 // Run serves. Whatever is wrong with the configuration comes as one plain message.
 func (s *serve) Run(out output) error {
-	c, err := node.LoadAll(s.Config, s.Operator)
+	c, err := node.LoadAll(s.Config, s.Operator, s.Admin)
 	if err != nil {
 		return fmt.Errorf("%s: %s", s.Config, strings.ReplaceAll(err.Error(), "\n", "; "))
 	}
@@ -66,7 +67,7 @@
 
 // Run names every fault, a line each.
 func (c *check) Run(out output) error {
-	cfg, err := node.LoadAll(c.Config, c.Operator)
+	cfg, err := node.LoadAll(c.Config, c.Operator, "")
 	if err != nil {
 		fmt.Fprintln(out.std, err)
 		return fmt.Errorf("%s is not fit to serve by", strings.TrimSuffix(c.Config+" with "+c.Operator, " with "))
--- /dev/null
+++ b/internal/admin/admin_test.go
@@ -0,0 +1,201 @@
+package admin
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// desk is a Service that notes its calls.
+type desk struct {
+	mu    sync.Mutex
+	calls []string
+	ready error
+}
+
+func (d *desk) note(verb, id string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.calls = append(d.calls, verb+" "+id)
+	switch id {
+	case "nobody":
+		return ErrUnknown
+	case "full":
+		return fmt.Errorf("%w: no space", ErrNotNow)
+	}
+	return nil
+}
+
+func (d *desk) open(t *testing.T, most int) *Door {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	door := Open(l, most, Service{
+		Ready: func() error { d.mu.Lock(); defer d.mu.Unlock(); return d.ready },
+		Out:   func(id string) error { return d.note("out", id) },
+		Back:  func(id string) error { return d.note("back", id) },
+	}, log.New(io.Discard, "", 0))
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		door.Close(ctx)
+	})
+	return door
+}
+
+func dial(t *testing.T, d *Door) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", d.Address().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	return c
+}
+
+// say writes text on a connection of its own and reads the one answer; the connection has to end behind it.
+func say(t *testing.T, d *Door, text string) (status int, body string) {
+	t.Helper()
+	c := dial(t, d)
+	io.WriteString(c, text)
+	in := bufio.NewReader(c)
+	res, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatalf("%.60q: %v", text, err)
+	}
+	b, err := io.ReadAll(res.Body)
+	if err != nil || !res.Close {
+		t.Fatalf("%.60q: %v, kept: %v", text, err, !res.Close)
+	}
+	if _, err := in.ReadByte(); !errors.Is(err, io.EOF) && !strings.Contains(fmt.Sprint(err), "reset") {
+		t.Fatalf("%.60q: the connection goes on behind its answer: %v", text, err)
+	}
+	return res.StatusCode, string(b)
+}
+
+func TestCallsAreAnswered(t *testing.T) {
+	for _, c := range []struct {
+		head   string
+		status int
+		text   string
+		call   string // what the service was asked
+	}{
+		{"GET /-/ready", 200, "yes", ""},
+		{"PUT /-/ready", 405, "takes GET", ""},
+		{"POST /-/ready", 405, "takes GET", ""},
+		{"POST /-/runners/s-1/disable", 200, "yes", "out s-1"},
+		{"POST /-/runners/s-1/enable", 200, "yes", "back s-1"},
+		{"POST /-/runners/a%2Fb%20c/disable", 200, "yes", "out a/b c"},
+		{"POST /-/runners/s-1/disable?why=x", 200, "yes", "out s-1"},
+		{"GET /-/runners/s-1/disable", 405, "takes POST", ""},
+		{"POST /-/runners/nobody/disable", 404, "no runner of this id", "out nobody"},
+		{"POST /-/runners/full/disable", 503, "no space", "out full"},
+		{"POST /-/runners//disable", 400, "missing", ""},
+		{"POST /-/runners/%zz/disable", 400, "", ""},
+		{"POST /-/runners/a/b/disable", 404, "no such path", ""},
+		{"POST /-/runners/s-1/disable/", 404, "no such path", ""},
+		{"POST /-/runners/s-1", 404, "no such path", ""},
+		{"POST /-/runners/s-1/stop", 404, "no such path", ""},
+		{"POST /-/runners/" + strings.Repeat("x", 10<<10) + "/disable", 400, "longer", ""},
+		{"GET /", 404, "no such path", ""},
+		{"GET /-/../-/ready", 404, "no such path", ""},
+		{"OPTIONS *", 404, "no such path", ""},
+	} {
+		d := &desk{}
+		status, text := say(t, d.open(t, 8), c.head+" HTTP/1.1\r\nHost: h\r\n\r\n")
+		if status != c.status || !strings.Contains(text, c.text) || strings.Join(d.calls, ",") != c.call {
+			t.Errorf("%.60s: %d %q, calls %q", c.head, status, text, d.calls)
+		}
+	}
+}
+
+func TestNotReadyIsANo(t *testing.T) {
+	d := &desk{ready: ErrNotNow}
+	if status, text := say(t, d.open(t, 8), "GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n"); status != 503 || text != "not now\n" {
+		t.Fatalf("%d %q", status, text)
+	}
+}
+
+// One call a connection: what comes behind it is not carried out, and a body that never comes is not waited for.
+func TestOddCallsAreAnswered(t *testing.T) {
+	d := &desk{}
+	door := d.open(t, 8)
+	call := "POST /-/runners/a/disable HTTP/1.1\r\nHost: h\r\n"
+	if status, _ := say(t, door, call+"\r\n"+call+"\r\n"); status != 200 {
+		t.Errorf("two calls in one write: %d", status)
+	}
+	if status, _ := say(t, door, call+"Content-Length: 100000\r\nExpect: 100-continue\r\n\r\n"); status != 200 {
+		t.Errorf("a body that is announced: %d", status)
+	}
+	if status, _ := say(t, door, call+"Content-Length: 10\r\n\r\n"); status != 200 {
+		t.Errorf("a body that never comes: %d", status)
+	}
+	if status, _ := say(t, door, "what is this\r\n\r\n"); status != 400 {
+		t.Errorf("no HTTP at all: %d", status)
+	}
+	c := dial(t, door)
+	for _, b := range []byte(call + "\r\n") {
+		c.Write([]byte{b})
+	}
+	if res, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || res.StatusCode != 200 {
+		t.Errorf("a call in pieces: %v", err)
+	}
+	if got := strings.Join(d.calls, ","); got != "out a,out a,out a,out a" {
+		t.Errorf("carried out: %s", got)
+	}
+}
+
+// Callers that hold connections with no whole call, by the hundred, neither keep others out nor take many descriptors.
+func TestSilentCallersKeepNobodyOut(t *testing.T) {
+	d := &desk{}
+	door := d.open(t, 8)
+	for i := range 300 {
+		c := dial(t, door)
+		if i%2 == 0 {
+			io.WriteString(c, "POST /-/runners/a/dis")
+		}
+		if i%50 == 49 {
+			if status, _ := say(t, door, "GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n"); status != 200 {
+				t.Fatalf("beside %d: %d", i, status)
+			}
+		}
+		door.l.mu.Lock()
+		n := len(door.l.order)
+		door.l.mu.Unlock()
+		if n > 9 {
+			t.Fatalf("%d connections are open, 8 are allowed and one is being taken in", n)
+		}
+	}
+	if len(d.calls) > 0 {
+		t.Fatalf("half a call was carried out: %q", d.calls)
+	}
+}
+
+// A call that waits unread goes on where there are too many connections: a silent one goes in its place.
+func TestTheOldestSilentGoesFirst(t *testing.T) {
+	ours, theirs := net.Pipe()
+	defer ours.Close()
+	defer theirs.Close()
+	l := &listener{most: 2}
+	owed, silent, newest := &conn{Conn: ours, l: l, owed: true}, &conn{Conn: ours, l: l}, &conn{Conn: ours, l: l}
+	l.order = []*conn{owed, silent, newest}
+	if got := l.oldestSilent(newest); got != silent {
+		t.Fatalf("%p goes, want %p", got, silent)
+	}
+	silent.owed = true
+	if got := l.oldestSilent(newest); got != nil {
+		t.Fatal("a connection goes that is owed an answer")
+	}
+}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -42,7 +42,7 @@
 	if fault, ok := strings.CutPrefix(who, "plant:"); ok {
 		return planted.Run(path, fault)
 	}
-	c, err := node.Load(path)
+	c, err := node.Load(path, "")
 	if err != nil {
 		return err
 	}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -9,6 +10,7 @@
 	"net"
 	"os"
 	"strconv"
+	"strings"
 
 	"birchfork/internal/config"
 	"birchfork/internal/settings"
@@ -31,6 +33,7 @@
 type Config struct {
 	Path                    string // of the file, to read it again
 	Name, Listen, Discovery string
+	Admin                   string // the operators' door; empty: there is none
 	Seed                    uint64
 	Limits                  Limits
 	Known                   store.List
@@ -55,19 +58,21 @@
 	Name      string          `json:"name"`
 	Listen    string          `json:"listen"`
 	Discovery string          `json:"discovery"`
+	Admin     string          `json:"operator"`
 	Seed      string          `json:"seed"`
 	Limits    Limits          `json:"limits"`
 	Known     json.RawMessage `json:"known"`
 	Settings  json.RawMessage `json:"settings"`
 }
 
-// Load reads a configuration file. Its error names every fault, a line each.
-func Load(path string) (*Config, error) {
+// Load reads a configuration file; admin, if not empty, is the operators' address in place of the file's. Its error names
+// every fault, a line each.
+func Load(path, admin string) (*Config, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("reading the configuration: %w", err)
 	}
-	c, err := Decode(raw)
+	c, err := decode(raw, admin)
 	if err != nil {
 		return nil, err
 	}
@@ -75,13 +80,13 @@
 	return c, nil
 }
 
-// LoadAll reads a configuration and the operator's file beside it; an empty path is none.
-func LoadAll(path, operator string) (*Config, error) {
-	c, err := Load(path)
+// LoadAll reads a configuration as Load does, and the operator's file beside it; an empty path is none.
+func LoadAll(path, operator, admin string) (*Config, error) {
+	c, err := Load(path, admin)
 	if err != nil || operator == "" {
 		return c, err
 	}
-	_, clients, _ := c.Limits.share()
+	_, clients, _ := c.share(1)
 	c.platform = config.Platform{
 		Settings: c.Settings, Classes: c.Names.Classes(), Tenants: c.Names.Tenants(), Clients: clients, Memory: c.Limits.memory(1),
 	}
@@ -93,30 +98,43 @@
 	return c, nil
 }
 
-// share shares the descriptors out: connections to workers, connections from clients up to which requests are taken, and
-// up to which they may wait.
-func (l Limits) share() (runners, clients, hard int) {
-	sockets := l.Sockets - otherSockets - l.Sockets/otherPart
+// doors is how many connections the operators' door holds at the most; 0 where there is none.
+func (c *Config) doors() int {
+	if c.Admin == "" {
+		return 0
+	}
+	return min(doorMost, c.Limits.Sockets/doorPart)
+}
+
+// share shares the descriptors out where so many processes of this dispatcher run: connections to workers, connections
+// from clients up to which requests are taken, and up to which they may wait.
+func (c *Config) share(processes int) (runners, clients, hard int) {
+	sockets := c.Limits.Sockets/processes - otherSockets - c.Limits.Sockets/otherPart/processes - c.doors()/processes
 	runners = int(float64(sockets) * runnerShare)
 	return runners, int(float64(sockets-runners) * clientReserve), sockets - runners
 }
 
 // Decode reads a configuration.
-func Decode(raw []byte) (*Config, error) {
+func Decode(raw []byte) (*Config, error) { return decode(raw, "") }
+
+func decode(raw []byte, admin string) (*Config, error) {
 	f := file{Limits: Limits{Cores: 1, MemoryMB: defaultMemoryMB, Sockets: defaultSockets}}
 	if err := json.Unmarshal(raw, &f); err != nil {
 		return nil, fmt.Errorf("the configuration is not as described: %w", err)
 	}
 	c := &Config{
-		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: f.Limits, Names: settings.NewNames(),
+		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Admin: cmp.Or(admin, f.Admin), Limits: f.Limits, Names: settings.NewNames(),
 	}
 	var faults []error
 	fault := func(format string, v ...any) { faults = append(faults, fmt.Errorf(format, v...)) }
-	for _, a := range []struct{ name, v string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
-		if _, port, err := net.SplitHostPort(a.v); err != nil || port == "" {
+	for _, a := range []struct{ name, v string }{{"listen", c.Listen}, {"discovery", c.Discovery}, {"operator", c.Admin}} {
+		if _, port, err := net.SplitHostPort(a.v); (err != nil || port == "") && (a.name != "operator" || a.v != "") {
 			fault("%s: %q is not host:port", a.name, a.v)
 		}
 	}
+	if c.Admin != "" && c.Admin == c.Listen && !strings.HasSuffix(c.Admin, ":0") {
+		fault("operator: %q is the address of listen; it needs one of its own", c.Admin)
+	}
 	c.Seed = seed(f.Seed, f.Name)
 	if !(f.Limits.Cores > 0) {
 		fault("limits.cores: %v is not above 0", f.Limits.Cores)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"birchfork/internal/admin"
 	"birchfork/internal/config"
 	"birchfork/internal/store"
 	"birchfork/internal/wire"
@@ -33,6 +34,8 @@
 	otherSockets  = 16                     // descriptors for the listener, discovery, standard streams and the runtime: 8, the rest spare
 	otherPart     = 32                     // and one in so many more
 	runnerShare   = 0.4                    // of the other descriptors: connections to workers; more clients than that may have to wait
+	doorMost      = 32                     // descriptors for connections to the operators' door at the most ...
+	doorPart      = 16                     // ... and one in so many: it answers the newest, and cuts the oldest that say nothing
 	clientReserve = 0.9                    // of the clients' part; over it requests are turned away, so that their connections go
 )
 
@@ -94,7 +97,7 @@
 // address of discovery and the operator's limits are taken over, for requests that come from now on;
 // all that requests and connections were built on stays until the next start.
 func (n *node) reload() {
-	c, err := Load(n.config.Path)
+	c, err := Load(n.config.Path, n.config.Admin)
 	var plan *config.Plan
 	if n.config.Operator != nil {
 		// Checked against the settings that we serve by, whatever the new configuration has for the next start.
@@ -143,6 +146,7 @@
 	server    *http.Server
 	served    chan error
 	address   net.Addr
+	door      *admin.Door        // nil: there is none
 	quit      context.CancelFunc // ends the watch and the ticking
 }
 
@@ -156,7 +160,7 @@
 	if err != nil {
 		return nil, err
 	}
-	runners, clients, hard := c.Limits.share()
+	runners, clients, hard := c.share(1)
 	if c.Operator != nil {
 		n.store.Limit(c.Operator.Table, c.Operator.Limits, c.Settings.Classes)
 	}
@@ -185,6 +189,12 @@
 	n.discovery = wire.NewDiscovery(ctx, n.store, log, wire.Source{
 		Address: c.Discovery, Fleet: c.Settings.GroupSize, Known: len(c.Known.Entries) > 0, Index: c.Known.Index, Seed: c.Seed,
 	})
+	if err := n.openDoor(); err != nil {
+		l.Close()
+		quit()
+		n.store.Close()
+		return nil, err
+	}
 	go n.tick(ctx)
 	go func() { n.served <- n.server.Serve(known.Listen(l)) }()
 	log.WithFields(logrus.Fields{
@@ -282,6 +292,9 @@
 	defer cancel()
 	err := n.server.Shutdown(ctx)
 	n.server.Close() // what has said nothing yet
+	if n.door != nil {
+		n.door.Close(ctx)
+	}
 	n.quit()
 	n.store.Close()
 	n.pool.Close()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -56,6 +56,8 @@
 	}{
 		{[2]string{`"listen":"127.0.0.1:0"`, `"listen":"here"`}, "listen"},
 		{[2]string{`"discovery":"127.0.0.1:8500"`, `"discovery":""`}, "discovery"},
+		{[2]string{`"name":"n1"`, `"operator":"here"`}, "operator"},
+		{[2]string{`"name":"n1","listen":"127.0.0.1:0"`, `"operator":"127.0.0.1:5","listen":"127.0.0.1:5"`}, "operator"},
 		{[2]string{`"cores":1.0`, `"cores":0`}, "limits.cores"},
 		{[2]string{`"memory_mb":192`, `"memory_mb":1`}, "limits.memory_mb"},
 		{[2]string{`"sockets":1024`, `"sockets":9`}, "limits.sockets"},
@@ -76,7 +78,7 @@
 	if err == nil || strings.Count(err.Error(), "\n") != 3 {
 		t.Errorf("not all four faults are named: %v", err)
 	}
-	if _, err := Load(t.TempDir() + "/none"); err == nil {
+	if _, err := Load(t.TempDir()+"/none", ""); err == nil {
 		t.Error("a missing file passed")
 	}
 }
@@ -385,7 +387,7 @@
 		}
 	}
 	write(w.discovery)
-	c, err := Load(path)
+	c, err := Load(path, "")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -508,7 +510,7 @@
 	}
 	write(path, configText(w.discovery, w.worker, "5"))
 	write(operator, "[[route]]\nname = 'all'\nconcurrent = 1\n")
-	c, err := LoadAll(path, operator)
+	c, err := LoadAll(path, operator, "")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -547,7 +549,7 @@
 		t.Errorf("%v places leaked", f["limit_held"])
 	}
 	write(operator, "[[route]]\nname = 'all'\nclass = 'none'\n")
-	if _, err := LoadAll(path, operator); err == nil || !strings.Contains(err.Error(), "route[0].class") {
+	if _, err := LoadAll(path, operator, ""); err == nil || !strings.Contains(err.Error(), "route[0].class") {
 		t.Errorf("a file that is unlawful at the start: %v", err)
 	}
 }
--- a/internal/settings/names.go
+++ b/internal/settings/names.go
@@ -97,6 +97,12 @@
 	return id
 }
 
+// FindWorker is the id of a worker whose name has been met.
+func (n *Names) FindWorker(v string) (rules.WorkerID, bool) {
+	id, ok := n.workers[v]
+	return id, ok
+}
+
 // KnownWorker is Worker without an allocation for names that are known.
 func (n *Names) KnownWorker(v []byte) rules.WorkerID {
 	if id, ok := n.workers[string(v)]; ok {
--- a/internal/store/list.go
+++ b/internal/store/list.go
@@ -31,6 +31,9 @@
 	ready   bool
 	since   int64
 	started rules.Time // since on the module's clock
+	out     bool       // left out by hand
+	handAt  time.Time  // when the operators spoke of it last
+	hand    int        // how often it was: what was ordered before does not go out after
 }
 
 // WorkerNews says that connections to an address are of no use any more: its worker has moved, restarted or is leaving.
@@ -48,7 +51,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i := range s.workers {
-		if s.workers[i].ready {
+		if s.workers[i].ready && !s.workers[i].out {
 			return true, s.fresh
 		}
 	}
@@ -131,10 +134,7 @@
 // view remembers one entry and returns its start on the module's clock. A start is converted once: another reading of
 // the wall clock would move it, and a moved start is a restart to the module.
 func (s *Store) view(id rules.WorkerID, n *Entry) rules.Time {
-	for int(id) >= len(s.workers) {
-		s.workers = append(s.workers, workerView{})
-	}
-	w := &s.workers[id]
+	w := s.viewOf(id)
 	if w.addr != "" && (w.addr != n.Address || w.since != n.Since || w.ready && n.State != rules.Ready) {
 		s.onNews(WorkerNews{w.addr})
 	}
--- a/internal/store/request.go
+++ b/internal/store/request.go
@@ -204,6 +204,7 @@
 	worker rules.WorkerID
 	addr   string
 	since  int64 // the worker's start, as the list told it
+	hand   int   // see workerView
 	sentAt rules.Time
 	began  rules.Time // when the job's start was told; 0: it was not
 	ctx    context.Context
@@ -224,7 +225,7 @@
 	t := &Attempt{r: r, number: len(r.attempts), worker: a.Worker, sentAt: now}
 	if int(a.Worker) < len(r.s.workers) {
 		w := &r.s.workers[a.Worker]
-		t.addr, t.since = w.addr, w.since
+		t.addr, t.since, t.hand = w.addr, w.since, w.hand
 	}
 	ctx, cancel := context.WithCancelCause(context.Background())
 	t.cancel = cancel
@@ -257,7 +258,7 @@
 		return false
 	}
 	w := &s.workers[a.worker]
-	return w.ready && w.addr == a.addr && w.since == a.since
+	return w.ready && !w.out && w.addr == a.addr && w.since == a.since && w.hand == a.hand
 }
 
 // Started reports that the job began to run.
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -90,6 +90,13 @@
 	return some && (fresh || time.Since(f.born) > freshWait) && !f.leaving.Load()
 }
 
+// Ready tells whether this process can serve: it knows the workers, from discovery or from before, and does not leave.
+// Unlike Up it does not ask whether one of them is up.
+func (f *Front) Ready() bool {
+	_, fresh := f.Store.Ready()
+	return (fresh || time.Since(f.born) > freshWait) && !f.leaving.Load()
+}
+
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	counters := &f.Store.Counters
 	switch {
--- a/rules/interface.go
+++ b/rules/interface.go
@@ -112,7 +112,9 @@
 	Ended                         // Request, Attempt, Worker, Result, Elapsed, Final, Report
 	ClientGone                    // Request: no answer is owed any more
 	TimerFired
-	Heard // Peer, Note
+	Heard    // Peer, Note
+	TakenOut // Worker: the operators leave it out, whatever the list says; it need not be listed
+	PutBack  // Worker, Elapsed: it may serve again since then; it was started anew while it was out
 )
 
 // Result is how an attempt ended.
@@ -139,7 +141,7 @@
 	Worker  WorkerID
 	Result  Result
 	Final   bool // the request has ended, by this event or earlier
-	Elapsed Time // since the attempt was sent
+	Elapsed Time // since the attempt was sent, or the worker put back
 	Done    float64
 
 	Class  int
--- a/rules/random_test.go
+++ b/rules/random_test.go
@@ -14,6 +14,8 @@
 	state   map[WorkerID]Worker
 	version uint64
 	cold    map[WorkerID][]Time // sends while cold
+	out     map[WorkerID]bool   // by hand
+	backAt  map[WorkerID]Time
 	finals  int
 	sends   int
 }
@@ -105,6 +107,9 @@
 	if len(j.tries) >= v.s.MaxAttempts {
 		return fmt.Errorf("too many attempts")
 	}
+	if v.out[a.Worker] {
+		return fmt.Errorf("rule three: sent to worker %d, which is out by hand", a.Worker)
+	}
 	if w, ok := v.state[a.Worker]; !ok || w.State != Ready {
 		return fmt.Errorf("rule three: sent to a worker in state %v, known %v", w.State, ok)
 	}
@@ -115,7 +120,8 @@
 // checkCold counts sends. Every job of the test takes a work of 100 ms or more at paces of 1 or more, and no worker
 // ever shows more than slotsMost at once, so a count above the bound breaks the budget for sure.
 func (v *watcher) checkCold(now Time, w Worker) error {
-	if age := now - w.StartedAt; w.StartedAt > 0 && age < v.s.WarmWithin {
+	start := max(w.StartedAt, v.backAt[w.ID])
+	if age := now - start; start > 0 && age < v.s.WarmWithin {
 		log := append(v.cold[w.ID], now)
 		for log[0]+v.s.FallWindow < now {
 			log = log[1:]
@@ -196,7 +202,8 @@
 		return 0, err
 	}
 	g := &day{r: r, d: dispatcher, workers: workers, now: 100 * Second, record: record, v: &watcher{
-		s: s, jobs: map[RequestID]*seen{}, state: map[WorkerID]Worker{}, cold: map[WorkerID][]Time{}}}
+		s: s, jobs: map[RequestID]*seen{}, state: map[WorkerID]Worker{}, cold: map[WorkerID][]Time{},
+		out: map[WorkerID]bool{}, backAt: map[WorkerID]Time{}}}
 	if err := g.handle(g.listEvent(ListSnapshot)); err != nil {
 		return 0, err
 	}
@@ -229,6 +236,13 @@
 	switch e.Kind {
 	case ListSnapshot, ListChange:
 		g.v.list(&e)
+	case TakenOut:
+		g.v.out[e.Worker] = true
+	case PutBack:
+		if g.v.out[e.Worker] {
+			g.v.cold[e.Worker] = nil
+		}
+		g.v.out[e.Worker], g.v.backAt[e.Worker] = false, max(g.v.backAt[e.Worker], g.now-e.Elapsed)
 	case Arrived:
 		if j := g.v.jobs[e.Request]; j == nil {
 			g.v.jobs[e.Request] = &seen{class: e.Class, deadline: g.now + e.Left, open: true}
@@ -345,8 +359,14 @@
 		return g.listEvent(ListChange)
 	case n < 92:
 		return g.listEvent(ListSnapshot)
-	case n < 94:
+	case n < 93:
 		return Event{Kind: ListLost}
+	case n < 94:
+		e := Event{Kind: TakenOut + EventKind(r.IntN(2)), Worker: WorkerID(r.IntN(g.workers + 2))}
+		if e.Kind == PutBack {
+			e.Elapsed = Time(r.IntN(2)*r.IntN(1000)) * ms
+		}
+		return e
 	case n < 96:
 		return Event{Kind: ClientGone, Request: id}
 	case n < 99: // notes: nonsense, old, from nobody
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -124,8 +124,8 @@
 
 // warmth is the share of its capacity that a worker has at the least.
 func (d *Dispatcher) warmth(w *worker) float64 {
-	age := max(0, d.now-w.StartedAt)
-	if w.StartedAt <= 0 || age >= d.s.WarmWithin {
+	age := max(0, d.now-w.start())
+	if w.start() <= 0 || age >= d.s.WarmWithin {
 		return 1
 	}
 	return d.s.ColdFrom + (1-d.s.ColdFrom)*float64(age)/float64(d.s.WarmWithin)
@@ -685,9 +685,7 @@
 	if d.s.ListOnRequest && e.Stale {
 		d.ask()
 	}
-	for _, j := range d.orphans() {
-		d.draw(j, 1)
-	}
+	d.repick()
 }
 
 // listLost keeps the last list and asks again, less and less often but in time for rule three.
--- a/rules/state.go
+++ b/rules/state.go
@@ -321,6 +321,9 @@
 	Worker
 	kind     *kindState
 	told     bool    // on the list
+	met      bool    // has been
+	out      bool    // left out by hand, whatever the list says
+	backAt   Time    // when that ended last; 0: never
 	newsAt   Time    // of its first start or last restart
 	room     float64 // slots; below 1: others fill it
 	cutAt    Time
@@ -343,8 +346,12 @@
 	gap      Time // between trials
 }
 
-// isReady says whether the newest list takes the worker for one that may be sent to.
-func (w *worker) isReady() bool { return w.told && w.State == Ready }
+// isReady says whether the newest list takes the worker for one that may be sent to, and nobody has taken it out by hand.
+func (w *worker) isReady() bool { return w.told && w.State == Ready && !w.out }
+
+// start is when the worker started last, as far as is known: the operators start it anew while it is out, and the list may
+// tell so late or never.
+func (w *worker) start() Time { return max(w.StartedAt, w.backAt) }
 
 // sign takes a worker's sign of life.
 func (w *worker) sign() { w.silent, w.gap = false, 0 }
@@ -504,6 +511,8 @@
 		if d.s.CanTell && e.Peer >= 0 && e.Peer < d.s.GroupSize && e.Peer != d.s.Ordinal && e.Note.Slots >= 0 {
 			d.heard(e.Peer, e.Note)
 		}
+	case TakenOut, PutBack:
+		d.byHand(e)
 	case TimerFired:
 		if d.armedAt <= d.now {
 			d.armedAt = never
@@ -691,6 +700,11 @@
 	for i := range e.Workers {
 		d.entry(&e.Workers[i])
 	}
+	d.recount()
+}
+
+// recount finds the ready workers and what goes with them.
+func (d *Dispatcher) recount() {
 	d.ready, d.near, d.weight, d.doubted, d.coldTo = d.ready[:0], d.near[:0], 0, 0, 0
 	for _, w := range d.workers {
 		if w == nil || !w.isReady() {
@@ -698,8 +712,8 @@
 		}
 		d.ready = append(d.ready, w)
 		d.weight += w.Weight
-		if w.StartedAt > 0 {
-			d.coldTo = max(d.coldTo, w.StartedAt+d.s.WarmWithin)
+		if w.start() > 0 {
+			d.coldTo = max(d.coldTo, w.start()+d.s.WarmWithin)
 		}
 		if w.distrust {
 			d.doubted++
@@ -717,19 +731,14 @@
 }
 
 func (d *Dispatcher) entry(n *Worker) {
-	for int(n.ID) >= len(d.workers) {
-		d.workers = append(d.workers, nil)
-	}
-	w := d.workers[n.ID]
-	if w == nil {
-		w = &worker{Worker: *n, kind: &d.kinds[len(d.kinds)-1]}
-		if n.Kind >= 0 && n.Kind < d.s.Kinds {
+	w := d.meet(n.ID)
+	if !w.met {
+		if w.met = true; n.Kind >= 0 && n.Kind < d.s.Kinds {
 			w.kind = &d.kinds[n.Kind]
 		}
-		d.workers[n.ID] = w
 		d.tags[n.Tag] = w
 		d.welcome(w)
-	} else if n.StartedAt > w.StartedAt {
+	} else if n.StartedAt > w.start() {
 		d.welcome(w)
 	}
 	w.Worker, w.told = *n, n.State != Gone
@@ -738,6 +747,42 @@
 	}
 }
 
+// meet returns the worker of an id; one that has not been listed yet knows nothing of itself.
+func (d *Dispatcher) meet(id WorkerID) *worker {
+	for int(id) >= len(d.workers) {
+		d.workers = append(d.workers, nil)
+	}
+	if d.workers[id] == nil {
+		d.workers[id] = &worker{Worker: Worker{ID: id, State: Gone}, kind: &d.kinds[len(d.kinds)-1]}
+	}
+	return d.workers[id]
+}
+
+// byHand takes the operators' word on a worker over: a fact beside the list's, which no list undoes.
+func (d *Dispatcher) byHand(e *Event) {
+	if e.Worker < 0 {
+		return
+	}
+	w := d.meet(e.Worker)
+	if e.Kind == PutBack {
+		w.backAt = max(w.backAt, d.now-max(e.Elapsed, 0))
+	}
+	if out := e.Kind == TakenOut; w.out != out {
+		if w.out = out; !out {
+			d.welcome(w)
+		}
+		d.recount()
+		d.repick()
+	}
+}
+
+// repick gives what is held at workers that are not ready another pick.
+func (d *Dispatcher) repick() {
+	for _, j := range d.orphans() {
+		d.draw(j, 1)
+	}
+}
+
 // zone is the state of a worker's zone.
 func (d *Dispatcher) zone(w *worker) *zoneState {
 	if w.Zone >= 0 && w.Zone < d.s.Zones {
