Take new settings over at SIGHUP, whole or not at all

The module takes other settings as an event; jobs hold their class, learned work goes on under its name, fewer attempts bind at once. A file that is read again may not be short of a key that the settings in force have; classes that share a name are refused at the start too. Names, module and the operator's limits change under one hold of the lock.

Tests seen to fail with their guards out: smaller count of attempts, end of held jobs, carried work, room among a request's orders, missing keys, names that are shared. The last two and the orders' failed by a hang that the time limit of the tests ended.

--- a/internal/lab/baseline/baseline.go
+++ b/internal/lab/baseline/baseline.go
@@ -99,6 +99,8 @@
 		}
 	case rules.TimerFired:
 		d.armed = 0
+	case rules.Retuned: // jobs under way point to their class, which stays
+		d.s = *e.Settings
 	}
 	d.due()
 	return d.out
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -43,6 +43,7 @@
 	Operator                *config.Plan // nil: the operator wishes nothing
 	Unspoken                []string     // settings that sockets have no words for yet, a line each
 	platform                config.Platform
+	raw                     []byte // as it was read
 }
 
 // The limits where the configuration has none, and the least to work with.
@@ -124,6 +125,7 @@
 	}
 	c := &Config{
 		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Admin: cmp.Or(admin, f.Admin), Limits: f.Limits, Names: settings.NewNames(),
+		raw: raw,
 	}
 	var faults []error
 	fault := func(format string, v ...any) { faults = append(faults, fmt.Errorf(format, v...)) }
@@ -174,7 +176,7 @@
 		return err
 	}
 	shape := checkShape(p)
-	if err := errors.Join(p.Err(), shape); err != nil { // its part of err, and what checkShape alone has read
+	if err := errors.Join(p.Err(), shape, checkNames(p)); err != nil { // its part of err, and what checkShape alone has read
 		return err
 	}
 	c.MostOpen = p.Whole("policy_limits.open_cap", 0)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,17 +11,16 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"reflect"
 	"runtime"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"birchfork/internal/admin"
-	"birchfork/internal/config"
 	"birchfork/internal/handover"
 	"birchfork/internal/store"
 	"birchfork/internal/wire"
@@ -97,42 +96,6 @@
 	}
 }
 
-// reload reads the configuration again, and the operator's file. If either is bad, nothing changes. Of good ones the
-// address of discovery and the operator's limits are taken over, for requests that come from now on;
-// all that requests and connections were built on stays until the next start.
-func (n *node) reload() {
-	c, err := Load(n.config.Path, n.config.Admin)
-	var plan *config.Plan
-	if n.config.Operator != nil {
-		// Checked against the settings that we serve by, whatever the new configuration has for the next start.
-		var bad error
-		plan, bad = config.Load(n.config.Operator.Path, n.config.platform)
-		err = errors.Join(err, bad)
-	}
-	if err != nil {
-		n.store.Counters.BadReloads.Add(1)
-		n.log.WithError(err).Error("the configuration was read again and is not fit to serve by: the old one stays")
-		return
-	}
-	n.store.Counters.Reloads.Add(1)
-	n.discovery.Move(c.Discovery)
-	served := n.config.Settings
-	if plan != nil {
-		n.store.Limit(plan.Table, plan.Limits, n.config.Settings.Classes)
-		if !reflect.DeepEqual(plan.Settings, n.config.Settings) {
-			n.log.Warn("the operator's file was read again; what it has under [platform] changes with the next start only")
-		}
-		served = n.config.platform.Settings
-	}
-	log := n.log.WithField("discovery", c.Discovery)
-	if c.Listen != n.config.Listen || c.Name != n.config.Name || c.Limits != n.config.Limits ||
-		!reflect.DeepEqual(c.Settings, served) {
-		log.Warn("the configuration was read again; name, listen, limits and settings change with the next start only")
-		return
-	}
-	log.Info("the configuration was read again")
-}
-
 // limit keeps the runtime within what the platform leaves us.
 func limit(l Limits) {
 	runtime.GOMAXPROCS(max(1, int(l.Cores)))
@@ -142,6 +105,7 @@
 // node is a running dispatcher.
 type node struct {
 	config    *Config
+	tuned     atomic.Pointer[Config] // what was taken over since the start; nil: nothing
 	log       logrus.FieldLogger
 	store     *store.Store
 	pool      *store.Pool
@@ -193,10 +157,7 @@
 	clients := &wire.Clients{Counters: &n.store.Counters}
 	n.front = wire.NewFront(n.store, &wire.Runners{Pool: n.pool, Counters: &n.store.Counters}, clients)
 	n.shareOut()
-	if c.Settings.RetryAfter {
-		n.front.MostAdvice = time.Duration(c.Settings.MaxRetryAfter) * time.Microsecond
-		n.front.ComeBack = min(comeBack, n.front.MostAdvice)
-	}
+	n.advise(c.Settings)
 	n.server = n.front.Server()
 	n.server.ErrorLog = quietLog(log)
 	ctx, quit := context.WithCancel(context.Background())
@@ -342,7 +303,7 @@
 // grace is how long after the signal all has to be answered.
 func (n *node) grace() time.Duration {
 	longest := time.Duration(0)
-	for _, c := range n.config.Settings.Classes {
+	for _, c := range n.inForce().Settings.Classes {
 		longest = max(longest, time.Duration(c.Deadline)*time.Microsecond)
 	}
 	return min(longest, graceMost) + graceSpare - stopSpare
--- /dev/null
+++ b/internal/node/reload_test.go
@@ -0,0 +1,120 @@
+package node
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const tuned = `{"name":"n","listen":"l","limits":{"cores":1},"known":{"index":1},"seed":"s","settings":{
+	"classes":[{"name":"a","deadline":5,"effect":"free","aim_stretch":1},{"name":"b","deadline":6,"effect":"free","extra":1}],
+	"policy_limits":{"attempts_cap":3,"cancel":true},"zones":["x"],"tick":0.002,"none":null}}`
+
+// What a file may have less than the one before, and what it may not.
+func TestAFileThatIsShortOfAKeyIsNamed(t *testing.T) {
+	for _, c := range []struct{ old, new, want string }{
+		{`"zones":["x"]`, `"zones":["x"]`, ""},
+		{`"aim_stretch":1`, `"aim_stretch":null`, ""},
+		{`,"known":{"index":1},"seed":"s"`, ``, ""},
+		{`,"extra":1`, ``, ""}, // not all classes had it
+		{`,"none":null`, ``, ""},
+		{`{"name":"a","deadline":5,"effect":"free","aim_stretch":1},`, ``, ""}, // a class that vanishes
+		{`"zones":["x"]`, `"zones":[]`, ""},
+		{`,"limits":{"cores":1}`, ``, "limits: it is missing"},
+		{`"cores":1`, ``, "limits.cores: it is missing"},
+		{`"deadline":6,`, ``, "settings.classes.1.deadline: it is missing"},
+		{`"effect":"free","aim`, `"aim`, "settings.classes.0.effect: it is missing"},
+		{`"effect":"free","aim`, `"effect":null,"aim`, "settings.classes.0.effect: it is missing"},
+		{`"attempts_cap":3,`, ``, "settings.policy_limits.attempts_cap: it is missing"},
+		{`"policy_limits":{"attempts_cap":3,"cancel":true}`, `"policy_limits":7`, "settings.policy_limits: it is not an object"},
+		{`"zones":["x"]`, `"zones":"x"`, "settings.zones: it is not a list"},
+		{`,"tick":0.002`, ``, "settings.tick: it is missing"},
+		{`"name":"b",`, ``, "settings.classes.1.name: it is missing"},
+		{`,"settings":{`, `,"other":{`, "settings: it is missing"},
+	} {
+		now := strings.Replace(tuned, c.old, c.new, 1)
+		if !json.Valid([]byte(now)) || now == tuned && c.old != c.new {
+			t.Fatalf("the test's own text: %s", now)
+		}
+		err := lacks([]byte(tuned), []byte(now))
+		if got := ""; err != nil {
+			got = err.Error()
+			if got != c.want {
+				t.Errorf("%s to %s: %q, want %q", c.old, c.new, got, c.want)
+			}
+		} else if c.want != "" {
+			t.Errorf("%s to %s: passed", c.old, c.new)
+		}
+	}
+	err := lacks([]byte(tuned), []byte(`{"settings":{"classes":[{}]}}`))
+	if err == nil || strings.Count(err.Error(), "\n")+1 != 9 {
+		t.Errorf("not every fault is named: %v", err)
+	}
+}
+
+// Settings that are read again hold whole or not at all, however the file is broken; requests see either.
+func TestReloadTakesSettingsWholeOrNotAtAll(t *testing.T) {
+	w := newWorld(t)
+	path := filepath.Join(t.TempDir(), "config.json")
+	good := configText(w.discovery, w.worker, "5")
+	write := func(raw string) {
+		t.Helper()
+		if err := os.WriteFile(path, []byte(raw), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(good)
+	c, err := Load(path, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := start(c, quiet(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.stop()
+	defer close(w.release)
+	renamed := strings.Replace(strings.Replace(good, `"name":"search"`, `"name":"find"`, 1), `"attempts_cap":3`, `"attempts_cap":1`, 1)
+	bad := []string{"", "null", "[]", "{}", strings.Replace(renamed, `"deadline":5`, `"deadline":0`, 1),
+		strings.Replace(renamed, `"deadline":5`, `"deadline":-5`, 1), strings.Replace(renamed, `"deadline":5,`, ``, 1),
+		strings.Replace(renamed, `"attempts_cap":1`, `"attempts_cap":0`, 1), strings.Replace(renamed, `"effect":"free"`, `"effect":7`, 1),
+		strings.Replace(renamed, `,"effect":"free"`, ``, 1), strings.Replace(renamed, `"status":"up"`, `"status":"odd"`, 1),
+		strings.Replace(renamed, `"classes":[`, `"classes":[{"name":"find","deadline":1,"aim":0.1,"effect":"free"},`, 1),
+		strings.Replace(renamed, w.discovery, "nowhere", 1)}
+	for i := 1; i < len(renamed); i += 7 { // cut off
+		bad = append(bad, renamed[:i])
+	}
+	for _, raw := range bad {
+		write(raw)
+		n.reload()
+	}
+	os.Remove(path)
+	n.reload()
+	want := int64(len(bad) + 1)
+	if got := n.store.Counters.BadReloads.Load(); got != want || n.store.Counters.Reloads.Load() != 0 {
+		t.Errorf("%d of %d were refused", got, want)
+	}
+	if n.inForce() != c || n.discovery.Address() != w.discovery {
+		t.Error("something of a refused one is in force")
+	}
+	answers := make(chan result, 1)
+	go func() { answers <- ask(n, "old", "5000") }()
+	if id := <-w.got; id != "old" {
+		t.Fatal(id)
+	}
+	write(renamed)
+	n.reload()
+	n.reload() // two in a row
+	if n.store.Counters.Reloads.Load() != 2 || n.inForce().Settings.MaxAttempts != 1 {
+		t.Error("good settings are not in force")
+	}
+	if a := ask(n, "gone", "5000"); a.status != 404 {
+		t.Errorf("a class that is gone: %+v", a)
+	}
+	w.release <- true
+	if a := <-answers; a.status != 200 {
+		t.Errorf("one under way: %+v", a)
+	}
+}
--- a/internal/node/shape.go
+++ b/internal/node/shape.go
@@ -69,3 +69,20 @@
 	}
 	return lines
 }
+
+// checkNames refuses classes and customers that share a name: one of them could never be asked for.
+func checkNames(p *settings.Pairs) error {
+	var faults []error
+	for _, list := range []string{"classes", "customers"} {
+		first := map[string]int{}
+		for i := range p.Whole(list+".count", 0) {
+			key := fmt.Sprintf("%s.%d.name", list, i)
+			name := p.Text(key, "")
+			if j, ok := first[name]; ok && name != "" {
+				faults = append(faults, fmt.Errorf("setting %s: %q is the name of %s.%d too", key, name, list, j))
+			}
+			first[name] = i
+		}
+	}
+	return errors.Join(faults...)
+}
--- a/internal/settings/names.go
+++ b/internal/settings/names.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -38,6 +39,49 @@
 	}
 }
 
+// Adopt takes over the classes and tenants of other settings, decoded with fresh names, and adds their zones and kinds to
+// those that are known: these keep their ids, in s too. It returns the old id of each class and tenant, -1 for new ones.
+func (n *Names) Adopt(fresh *Names, s *rules.Settings) (classes, tenants []int) {
+	classes, tenants = carry(n.classes, fresh.Classes()), carry(n.tenants, fresh.Tenants())
+	var zones, kinds []int
+	zones, s.Zones = add(n.zones, byID(fresh.zones))
+	kinds, s.Kinds = add(n.kinds, byID(fresh.kinds))
+	if s.Zone >= 0 {
+		s.Zone = zones[s.Zone]
+	}
+	s.Classes = slices.Clone(s.Classes)
+	for i := range s.Classes {
+		if k := &s.Classes[i].Kind; *k >= 0 {
+			*k = kinds[*k]
+		}
+	}
+	n.classes, n.tenants = fresh.classes, fresh.tenants
+	return classes, tenants
+}
+
+func carry(old map[string]int, names []string) []int {
+	from := make([]int, len(names))
+	for i, name := range names {
+		from[i] = idOr(old, name)
+	}
+	return from
+}
+
+// add adds names to those that have ids and returns the ids of all, and how many there are up to the highest.
+func add(m map[string]int, names []string) (ids []int, count int) {
+	for _, id := range m {
+		count = max(count, id+1)
+	}
+	for _, name := range names {
+		if _, ok := m[name]; !ok {
+			m[name] = count
+			count++
+		}
+		ids = append(ids, m[name])
+	}
+	return ids, count
+}
+
 // Class is the id of a class, or an error where the settings lack it.
 func (n *Names) Class(v []byte) (int, error) { return lookUp(n.classes, "class", v) }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -4,6 +4,8 @@
 	"reflect"
 	"strings"
 	"testing"
+
+	"birchfork/rules"
 )
 
 // A request id is used again only when nothing can name the old request any more.
@@ -94,3 +96,36 @@
 		}
 	})
 }
+
+// Other settings number their names in their own way: what is known keeps its number.
+func TestAdoptKeepsTheNumbersOfZonesAndKinds(t *testing.T) {
+	decode := func(js string) (rules.Settings, *Names) {
+		t.Helper()
+		n := NewNames()
+		s, _, err := DecodeJSON([]byte(js), n)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s, n
+	}
+	_, n := decode(`{"classes":[{"name":"a"},{"name":"b"}],"customers":[{"name":"x"}],"zones":["z1","z2"],"machine_types":["m1","m2"]}`)
+	worker := n.Worker("w")
+	s, fresh := decode(`{"classes":[{"name":"c"},{"name":"a"}],"customers":[{"name":"y"},{"name":"x"}],"zones":["z3","z1"],"zone":"z3",
+		"machine_types":["m3","m2"],"extra":{"class_kind":[0,1]}}`)
+	classes, tenants := n.Adopt(fresh, &s)
+	if !reflect.DeepEqual(classes, []int{-1, 0}) || !reflect.DeepEqual(tenants, []int{-1, 0}) {
+		t.Errorf("carried: %v, %v", classes, tenants)
+	}
+	if s.Zones != 3 || s.Kinds != 3 || s.Zone != 2 || s.Classes[0].Kind != 2 || s.Classes[1].Kind != 1 {
+		t.Errorf("%+v", s)
+	}
+	if n.Zone("z1") != 0 || n.Zone("z2") != 1 || n.Zone("z3") != 2 || n.Kind("m3") != 2 || n.Worker("w") != worker {
+		t.Error("numbers moved")
+	}
+	if id, err := n.Class([]byte("c")); err != nil || id != 0 {
+		t.Errorf("%d, %v", id, err)
+	}
+	if _, err := n.Class([]byte("b")); err == nil {
+		t.Error("a class that is gone is known")
+	}
+}
--- a/internal/store/admit.go
+++ b/internal/store/admit.go
@@ -46,6 +46,10 @@
 func (s *Store) Limit(t *routes.Table, c limits.Config, classes []rules.Class) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.limit(t, c, classes)
+}
+
+func (s *Store) limit(t *routes.Table, c limits.Config, classes []rules.Class) {
 	a := &admitter{table: t, most: s.attempts, classes: classes}
 	for i := range t.Len() {
 		a.narrow = append(a.narrow, t.Narrow(i, s.attempts))
--- a/internal/store/pool.go
+++ b/internal/store/pool.go
@@ -76,7 +76,10 @@
 		p.counters.NoDescriptor.Add(1)
 		return nil, ErrNoDescriptor
 	}
-	raw, err := p.dial(ctx, addr)
+	p.mu.Lock()
+	dial := p.dial
+	p.mu.Unlock()
+	raw, err := dial(ctx, addr)
 	if err != nil {
 		p.giveBack()
 		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
@@ -118,6 +121,13 @@
 	return true
 }
 
+// Tune sets how connections are opened from now on, and after which time idle ones are closed.
+func (p *Pool) Tune(dial Dial, idleLife time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dial, p.idleLife = dial, idleLife
+}
+
 // SetMost sets how many connections may be open; idle ones go that are too many now.
 func (p *Pool) SetMost(most int) {
 	p.mu.Lock()
--- a/internal/store/request.go
+++ b/internal/store/request.go
@@ -59,6 +59,7 @@
 	until    time.Time // when its client stops waiting
 	orders   chan Order
 	attempts []*Attempt
+	most     int  // attempts that there is room for among the orders
 	final    bool // no answer is owed any more
 	hold     hold // what it holds of the operator's limits
 }
@@ -96,7 +97,7 @@
 		return nil, ErrTwice
 	}
 	s.lately.add(j.ID)
-	r := &Request{s: s, id: id, until: time.Now().Add(j.Left), orders: make(chan Order, s.attempts+1), hold: held}
+	r := &Request{s: s, id: id, until: time.Now().Add(j.Left), orders: make(chan Order, s.attempts+1), most: s.attempts, hold: held}
 	for int(id) >= len(s.requests) {
 		s.requests = append(s.requests, nil)
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -11,6 +11,8 @@
 
 	"github.com/sirupsen/logrus"
 
+	"birchfork/internal/limits"
+	"birchfork/internal/routes"
 	"birchfork/internal/settings"
 	"birchfork/rules"
 )
@@ -86,6 +88,31 @@
 	return s, nil
 }
 
+// Retuning is all that other settings bring.
+type Retuning struct {
+	Settings rules.Settings
+	Names    *settings.Names // of the settings alone; the Store's own keep workers and requests
+	MostOpen int
+	Table    *routes.Table // nil: the operator has no file
+	Limits   limits.Config
+}
+
+// Retune takes other settings over, which are to be checked: all of them, for requests that come from now on. What is open
+// keeps its class. What the settings of a connection are, a front and a pool are told by others.
+func (s *Store) Retune(r Retuning) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	set := r.Settings
+	set.MaxAttempts = min(set.MaxAttempts, mostAttempts)
+	e := rules.Event{Kind: rules.Retuned, Settings: &set}
+	e.Classes, e.Tenants = s.names.Adopt(r.Names, &set)
+	s.attempts, s.mostOpen = set.MaxAttempts, r.MostOpen
+	if r.Table != nil {
+		s.limit(r.Table, r.Limits, set.Classes)
+	}
+	s.handle(s.now(), &e)
+}
+
 // Close stops the timer. Nothing may be opened afterwards.
 func (s *Store) Close() {
 	s.mu.Lock()
@@ -149,7 +176,7 @@
 	}
 	switch a.Kind {
 	case rules.Send:
-		if r.final || len(r.attempts) >= s.attempts {
+		if r.final || len(r.attempts) >= min(r.most, s.attempts) {
 			s.fault("a send for a request that has ended")
 			return
 		}
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -44,15 +44,12 @@
 	Clients *Clients
 	Bodies  Budget // for what bodies hold in memory
 
-	// ComeBack is when one may come back whom a limit has left no place; 0 where the settings allow no such advice.
-	ComeBack time.Duration
-	// MostAdvice is the longest advice that the settings allow; 0 where they allow none.
-	MostAdvice time.Duration
-
-	born     time.Time
-	leaving  atomic.Bool
-	stopping atomic.Bool
-	hurry    chan struct{} // closed when all that is open has to end
+	comeBack   atomic.Int64 // see Advise
+	mostAdvice atomic.Int64
+	born       time.Time
+	leaving    atomic.Bool
+	stopping   atomic.Bool
+	hurry      chan struct{} // closed when all that is open has to end
 }
 
 // NewFront returns a front for the requests of s.
@@ -60,6 +57,13 @@
 	return &Front{Store: s, Runners: r, Clients: c, born: time.Now(), hurry: make(chan struct{})}
 }
 
+// Advise sets when one may come back whom a limit has left no place, and the longest advice that the settings allow; 0
+// where they allow none.
+func (f *Front) Advise(comeBack, most time.Duration) {
+	f.comeBack.Store(int64(min(comeBack, most)))
+	f.mostAdvice.Store(int64(most))
+}
+
 // Server returns the HTTP server that the front stands on, for connections that Clients knows.
 func (f *Front) Server() *http.Server {
 	return &http.Server{
@@ -201,13 +205,11 @@
 	case errors.As(err, &bad):
 	case errors.Is(err, errNoPlace), errors.Is(err, store.ErrMany):
 		c.TurnedAway.Add(1)
-		retryAfter(w, f.ComeBack)
+		retryAfter(w, time.Duration(f.comeBack.Load()))
 		f.reply(w, r, http.StatusServiceUnavailable, []byte("no place left\n"), true)
 		return
 	case errors.As(err, &limited): // its connection stays: it has done nothing wrong, and asks again on it
-		if limited.ComeBack > 0 && f.MostAdvice > 0 {
-			retryAfter(w, min(limited.ComeBack, f.MostAdvice))
-		}
+		retryAfter(w, min(limited.ComeBack, time.Duration(f.mostAdvice.Load())))
 		f.reply(w, r, http.StatusServiceUnavailable, []byte(err.Error()+"\n"), false)
 		return
 	case errors.Is(err, store.ErrClass):
--- a/rules/interface.go
+++ b/rules/interface.go
@@ -115,6 +115,7 @@
 	Heard    // Peer, Note
 	TakenOut // Worker: the operators leave it out, whatever the list says; it need not be listed
 	PutBack  // Worker, Elapsed: it may serve again since then; it was started anew while it was out
+	Retuned  // Settings, Classes, Tenants: other settings hold for requests that come from now on
 )
 
 // Result is how an attempt ended.
@@ -154,6 +155,11 @@
 	Narrow Narrow
 	Key    uint64 // what a job needs beside its slots: workers keep it for a while; 0: nothing told
 
+	// Of new settings: the old number of each class and tenant, -1 for new ones. Zones and kinds keep their numbers; new
+	// ones come behind them.
+	Settings         *Settings
+	Classes, Tenants []int
+
 	Version uint64
 	Stale   bool // a copy kept from before a restart
 	Workers []Worker
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -66,9 +66,9 @@
 // most is how many attempts a job may have.
 func (d *Dispatcher) most(j *job) int {
 	if j.narrow.Attempts > 0 {
-		return min(j.narrow.Attempts, d.s.MaxAttempts)
+		return min(j.narrow.Attempts, j.most, d.s.MaxAttempts)
 	}
-	return d.s.MaxAttempts
+	return min(j.most, d.s.MaxAttempts) // guards against an attempt that new settings do not allow any more
 }
 
 func (d *Dispatcher) send(j *job, w *worker) bool {
@@ -415,7 +415,8 @@
 		d.overdue(j, &j.attempts[i])
 	}
 	switch {
-	case d.now >= j.end, d.now >= j.aimAt && d.hopeless(j), d.now >= d.sendBy(j) && j.unsent():
+	case d.now >= j.end, d.now >= j.aimAt && d.hopeless(j),
+		j.unsent() && (d.now >= d.sendBy(j) || len(j.attempts) >= d.most(j)):
 		d.finish(j)
 	case j.ticket != 0 && d.now >= j.joinAt:
 		j.step++
--- a/rules/state.go
+++ b/rules/state.go
@@ -62,6 +62,7 @@
 	key      uint64    // 0: none
 	draws    uint64    // by the key, since it was held
 	narrow   Narrow    // what the operator allows
+	most     int       // attempts, by the settings that it landed under
 	pausedTo Time      // no further attempt before
 }
 
@@ -423,9 +424,7 @@
 	}
 	for _, c := range s.Classes {
 		d.meanWork = max(d.meanWork, float64(c.Aim))
-		aim := math.Log(float64(max(c.Aim, 1)))
-		d.classes = append(d.classes, classState{Class: c, run: float64(c.Aim), hints: aim, logRun: aim,
-			hintVar: 1, hintCov: 1})
+		d.classes = append(d.classes, newClass(c))
 	}
 	for _, t := range s.Tenants {
 		d.tenants = append(d.tenants, tenantState{Tenant: t})
@@ -434,6 +433,66 @@
 	return d, nil
 }
 
+// newClass is a class that has shown nothing yet.
+func newClass(c Class) classState {
+	aim := math.Log(float64(max(c.Aim, 1)))
+	return classState{Class: c, run: float64(c.Aim), hints: aim, logRun: aim, hintVar: 1, hintCov: 1}
+}
+
+// retune takes other settings over. Jobs under way keep the class that they came under: they point to it, and it goes with
+// the last of them. What was learned of a class goes on. Settings that make no sense are passed over.
+func (d *Dispatcher) retune(e *Event) {
+	if e.Settings == nil || validate(e.Settings) != nil {
+		return
+	}
+	s := *e.Settings
+	s.Zones, s.Kinds = max(s.Zones, d.s.Zones), max(s.Kinds, d.s.Kinds)
+	classes := make([]classState, 0, len(s.Classes))
+	for i, c := range s.Classes {
+		state := newClass(c)
+		if old := carried(e.Classes, i); old >= 0 && old < len(d.classes) {
+			state = d.classes[old]
+			state.Class = c
+		}
+		classes = append(classes, state)
+	}
+	tenants, quotas := make([]tenantState, 0, len(s.Tenants)), 0.0
+	for i, t := range s.Tenants {
+		state := tenantState{}
+		if old := carried(e.Tenants, i); old >= 0 && old < len(d.tenants) {
+			state = d.tenants[old]
+		}
+		state.Tenant = t
+		tenants, quotas = append(tenants, state), quotas+t.Quota
+	}
+	for len(d.zones) <= s.Zones { // the last is for those that the settings do not name
+		d.zones = slices.Insert(d.zones, len(d.zones)-1, zoneState{base: firstBase})
+	}
+	for len(d.kinds) <= s.Kinds {
+		d.kinds = slices.Insert(d.kinds, len(d.kinds)-1, kindState{size: 1, pace: 1})
+	}
+	d.s, d.classes, d.tenants, d.quotas = s, classes, tenants, quotas
+	for _, w := range d.workers {
+		if w != nil {
+			d.known(w)
+		}
+	}
+	d.recount()
+	for _, j := range d.jobs { // those that may make no attempt more end
+		if j != nil && j.open {
+			d.review(j)
+		}
+	}
+}
+
+// carried is the old number of a class or tenant, -1 where it is new.
+func carried(from []int, i int) int {
+	if i < len(from) {
+		return from[i]
+	}
+	return -1
+}
+
 func validate(s *Settings) error {
 	if len(s.Classes) == 0 {
 		return errors.New("Classes: there are none")
@@ -511,6 +570,8 @@
 		if d.s.CanTell && e.Peer >= 0 && e.Peer < d.s.GroupSize && e.Peer != d.s.Ordinal && e.Note.Slots >= 0 {
 			d.heard(e.Peer, e.Note)
 		}
+	case Retuned:
+		d.retune(e)
 	case TakenOut, PutBack:
 		d.byHand(e)
 	case TimerFired:
@@ -556,7 +617,7 @@
 	}
 	*j = job{id: e.Request, class: &d.classes[e.Class], need: max(float64(e.Slots), e.Memory, 1), hint: e.Work,
 		landed: d.now, end: d.now + e.Left - d.s.Tick, open: true, attempts: j.attempts[:0], picks: j.picks[:0], narrow: e.Narrow,
-		key: e.Key}
+		key: e.Key, most: d.s.MaxAttempts}
 	if e.Narrow.Within > 0 {
 		j.end = min(j.end, d.now+e.Narrow.Within)
 	}
@@ -733,15 +794,23 @@
 func (d *Dispatcher) entry(n *Worker) {
 	w := d.meet(n.ID)
 	if !w.met {
-		if w.met = true; n.Kind >= 0 && n.Kind < d.s.Kinds {
-			w.kind = &d.kinds[n.Kind]
-		}
+		w.met, w.Kind = true, n.Kind
+		d.known(w)
 		d.tags[n.Tag] = w
 		d.welcome(w)
 	} else if n.StartedAt > w.start() {
 		d.welcome(w)
 	}
 	w.Worker, w.told = *n, n.State != Gone
+	d.known(w)
+}
+
+// known gives a worker the state of its kind, and its points on the ring where the settings ask for one.
+func (d *Dispatcher) known(w *worker) {
+	w.kind = &d.kinds[len(d.kinds)-1]
+	if w.met && w.Kind >= 0 && w.Kind < d.s.Kinds {
+		w.kind = &d.kinds[w.Kind]
+	}
 	if w.told && !w.ringed && d.s.PriceFetch > 0 {
 		w.ringed, d.fresh = true, append(d.fresh, w)
 	}
