Owe a runner that was put back a job, and let refused jobs go to cold workers that are drawn

A call back now owes the runner one job from each dispatcher, of many from as many as it bears; a job that the backlog would refuse may go to a cold worker that is drawn, as one that late starts refuse may already.

--- a/rules/hand_test.go
+++ b/rules/hand_test.go
@@ -1,6 +1,9 @@
 package rules
 
-import "testing"
+import (
+	"math/rand/v2"
+	"testing"
+)
 
 func (k *desk) byHand(out bool, w WorkerID) []Action {
 	if out {
@@ -144,3 +147,66 @@
 		t.Fatalf("%v", acts)
 	}
 }
+
+// A cold worker is drawn too seldom where there is little traffic: one that was put back is owed a job all the same, no
+// more than one for that, and by no more dispatchers than it bears.
+func TestAWorkerThatWasPutBackIsUsedAgain(t *testing.T) {
+	s := settings()
+	s.ColdFrom, s.WarmWithin = 0.01, 1000*Second // hardly ever drawn
+	used, owed := 0, 0
+	for seed := range uint64(40) {
+		k := newDesk(t, s, fleet(8)...)
+		k.d.rng = rand.New(rand.NewPCG(seed, 3))
+		k.byHand(true, 0)
+		k.wait(Second)
+		k.byHand(false, 0)
+		got := 0
+		for range 25 { // five a second, most of the time nothing else runs
+			k.wait(200 * ms)
+			id, acts := k.land(safe, 10*ms)
+			for _, w := range sentTo(acts) {
+				if w == 0 {
+					got++
+				}
+			}
+			k.do(Event{Kind: Ended, Request: id, Result: OK, Final: true})
+		}
+		if got > 0 {
+			used++
+		}
+		if got > 4 {
+			t.Errorf("seed %d: %d jobs to a worker that bears next to nothing", seed, got)
+		}
+	}
+	if used != 40 {
+		t.Errorf("used again in %d of 40 histories", used)
+	}
+	s.GroupSize = 400
+	for seed := range uint64(400) {
+		k := newDesk(t, s, fleet(2)...)
+		k.d.rng = rand.New(rand.NewPCG(seed, 3))
+		k.byHand(true, 0)
+		k.byHand(false, 0)
+		owed += len(k.d.owing)
+	}
+	if owed < 1 || owed > 12 {
+		t.Errorf("%d of 400 dispatchers owe it a job", owed)
+	}
+}
+
+// One that is taken out again, or leaves, is owed nothing and stands in nobody's way.
+func TestNothingIsOwedToAWorkerThatIsOut(t *testing.T) {
+	k := newDesk(t, settings(), fleet(3)...)
+	for _, w := range []WorkerID{0, 1} {
+		k.byHand(true, w)
+		k.byHand(false, w)
+	}
+	k.do(Event{Kind: ListChange, Workers: []Worker{{ID: 0, State: Gone}}, Version: 2})
+	if k.d.owed != k.d.workers[1] {
+		t.Errorf("first is %+v", k.d.owed)
+	}
+	k.byHand(true, 1)
+	if k.d.owed != nil || len(k.d.owing) != 1 {
+		t.Errorf("owed %+v, owing %d", k.d.owed, len(k.d.owing))
+	}
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -39,6 +39,8 @@
 	usualRuns  = 0.005             // and in a class's usual run, so that slowdowns pass sooner
 	failMargin = 0.25              // share of failures above twice the peers': distrust
 	trialGap   = 250 * Millisecond // between the first trials of a worker that is distrusted or silent
+	owedAfter  = 500 * Millisecond // so long at least only draws find a worker that was put back by hand ...
+	owedWithin = 3 * Second        // ... and at most: from then on it is owed a job
 	trialMost  = 4 * Second        // between its trials at the most: they double
 	paceMost   = 20.0              // times the mean pace that one run counts for at most
 	coldPicks  = 1.5               // picks of a cold worker for each job that it gets: others take the rest
@@ -140,14 +142,6 @@
 	return min(1, coldPicks*d.part(w)*d.all.pace/d.paceOf(w)*root*root/full)
 }
 
-// part is a worker's listed size against the mean, 1 where none is told.
-func (d *Dispatcher) part(w *worker) float64 {
-	if d.weight > 0 && w.Weight > 0 && !d.s.WeightsMove {
-		return w.Weight / d.weight
-	}
-	return 1
-}
-
 // believe shrinks a hint towards the mean as far as hints told little of run times (a regression of logs).
 func (c *classState) believe(hint Time) Time {
 	if hint <= 0 {
@@ -224,12 +218,10 @@
 	}
 	d.press(0)
 	// Guards against queues in which all end late, at the workers or here, and waits that come to nothing.
-	switch {
-	case d.now+d.backlog(j) > d.until(j):
-		d.finish(j)
-	case d.rng.Float64() >= math.Pow(d.shed, shedSkew*part):
+	switch by := d.until(j); {
+	case d.now+d.backlog(j) <= by && d.rng.Float64() >= math.Pow(d.shed, shedSkew*part):
 		d.hold(j)
-	case !d.sendCold(j):
+	case d.now > by || !d.sendCold(j):
 		d.finish(j)
 	}
 }
@@ -280,6 +272,9 @@
 
 // pick draws a random ready worker that may be used, of all zones the more often the longer starts wait near.
 func (d *Dispatcher) pick(j *job, near bool) *worker {
+	if w := d.owed; w != nil && near && j.first && j.step == 0 && j.class.Kind < 0 && d.now >= w.owedAt {
+		return w
+	}
 	from, even := d.ready, 1.0
 	if cost := costWeight * d.s.PriceCross; j.key == 0 && cost > 0 && len(d.near) > 0 &&
 		(near || d.now < j.heldAt+d.farAfter() && math.Sqrt(d.rng.Float64())*cost >= d.zones[d.s.Zone].wait) {
@@ -623,12 +618,6 @@
 	}
 }
 
-// learnPace takes a run into a pace. Where many share the work each sees few runs: the first count for more.
-func (k *kindState) learnPace(pace float64) {
-	k.runs++
-	k.pace += (pace - k.pace) * max(meanWeight, 1/(k.runs+firstRuns))
-}
-
 // learn takes a run into the means of its class, and how the hint it had and its time go together.
 func (c *classState) learn(hint Time, run float64) {
 	c.runs++
@@ -669,6 +658,17 @@
 	w.trialAt = d.now + w.gap
 }
 
+// owe makes sure that a worker that was put back by hand is used again: draws seldom find a cold one. Each
+// dispatcher owes it one job, at a moment of its own; of many only as many do as it bears.
+func (d *Dispatcher) owe(w *worker) {
+	bears := d.s.FallMultiple * d.s.ColdFrom * float64(owedWithin) / (d.meanWork * d.paceOf(w))
+	if d.rng.Float64()*float64(d.s.GroupSize) < max(1, bears) {
+		w.owedAt = w.backAt + owedAfter + Time(d.rng.Float64()*float64(owedWithin-owedAfter))
+		d.owing = append(d.owing, w)
+	}
+	d.nextOwed()
+}
+
 // welcome sets what is believed of a worker that is new or has restarted.
 func (d *Dispatcher) welcome(w *worker) {
 	w.newsAt, w.room, w.cutAt = d.now, d.room, d.now
--- a/rules/state.go
+++ b/rules/state.go
@@ -163,6 +163,9 @@
 // sent and freed keep the slots in use and tell the worker's home of them.
 func (d *Dispatcher) sent(j *job, a attempt) {
 	j.attempts = append(j.attempts, a)
+	if len(d.owing) > 0 {
+		d.paid(a.w)
+	}
 	a.w.use += j.need
 	d.inUse += j.need
 	d.emit(Action{Kind: Send, Request: j.id, Worker: a.w.ID, Wait: j.narrow.Wait})
@@ -295,6 +298,20 @@
 	return x ^ x>>31
 }
 
+// part is a worker's listed size against the mean, 1 where none is told.
+func (d *Dispatcher) part(w *worker) float64 {
+	if d.weight > 0 && w.Weight > 0 && !d.s.WeightsMove {
+		return w.Weight / d.weight
+	}
+	return 1
+}
+
+// learnPace takes a run into a pace. Where many share the work each sees few runs: the first count for more.
+func (k *kindState) learnPace(pace float64) {
+	k.runs++
+	k.pace += (pace - k.pace) * max(meanWeight, 1/(k.runs+firstRuns))
+}
+
 type tenantState struct {
 	Tenant
 	left float64 // requests within the share
@@ -325,6 +342,7 @@
 	met      bool    // has been
 	out      bool    // left out by hand, whatever the list says
 	backAt   Time    // when that ended last; 0: never
+	owedAt   Time    // when it is to get a job at the latest
 	newsAt   Time    // of its first start or last restart
 	room     float64 // slots; below 1: others fill it
 	cutAt    Time
@@ -378,6 +396,8 @@
 	kinds    []kindState
 	zones    []zoneState
 	ready    []*worker
+	owing    []*worker // put back by hand and not used since
+	owed     *worker   // the one of them whose time comes first
 	near     []*worker // the ready ones in our own zone
 	ring     []point   // of the workers listed when it last grew, and some that have left since
 	fresh    []*worker // whose points are not in it yet
@@ -784,6 +804,7 @@
 		}
 	}
 	d.weight /= float64(max(1, len(d.ready)))
+	d.nextOwed()
 	for _, w := range d.ready {
 		if w.newsAt == d.now { // welcomed above, before the mean size was known
 			w.room = d.room * d.part(w)
@@ -839,12 +860,29 @@
 	if out := e.Kind == TakenOut; w.out != out {
 		if w.out = out; !out {
 			d.welcome(w)
+			d.owe(w)
 		}
 		d.recount()
+		d.paid(nil)
 		d.repick()
 	}
 }
 
+// paid says that a worker that was put back has got a job, or gets none, as it was taken out again.
+func (d *Dispatcher) paid(w *worker) {
+	d.owing = slices.DeleteFunc(d.owing, func(o *worker) bool { return o == w || o.out })
+	d.nextOwed()
+}
+
+func (d *Dispatcher) nextOwed() {
+	d.owed = nil
+	for _, w := range d.owing {
+		if w.isReady() && (d.owed == nil || w.owedAt < d.owed.owedAt) {
+			d.owed = w
+		}
+	}
+}
+
 // repick gives what is held at workers that are not ready another pick.
 func (d *Dispatcher) repick() {
 	for _, j := range d.orphans() {
