--- a/rules/hand_test.go
+++ b/rules/hand_test.go
@@ -129,6 +129,15 @@
 	if got := k.d.warmth(w); got > s.ColdFrom {
 		t.Fatalf("warmth %v after a restart on the list", got)
 	}
+	// A start that was told while it was out is the operators'.
+	k.byHand(true, 0)
+	k.wait(Second)
+	k.do(Event{Kind: ListChange, Workers: []Worker{{ID: 0, StartedAt: k.now}}, Version: 4})
+	k.wait(s.WarmWithin / 2)
+	k.byHand(false, 0)
+	if got := k.d.warmth(w); got < 0.5 || got > 0.6 {
+		t.Fatalf("warmth %v half way from the start that was told", got)
+	}
 	// Another process of ours took it back a while ago.
 	k.do(Event{Kind: PutBack, Worker: 1, Elapsed: s.WarmWithin / 2})
 	if got := k.d.warmth(k.d.workers[1]); got < 0.5 || got > 0.6 {
@@ -210,3 +219,18 @@
 		t.Errorf("owed %+v, owing %d", k.d.owed, len(k.d.owing))
 	}
 }
+
+// A start from before the time out says nothing of the return, whichever process heard of that time.
+func TestAnEarlierStartDoesNotMakeTheReturnWarm(t *testing.T) {
+	s := settings()
+	k := newDesk(t, s, Worker{ID: 0, StartedAt: Second}, Worker{ID: 1, StartedAt: Second})
+	k.byHand(true, 0)
+	k.wait(Second)
+	k.byHand(false, 0)
+	k.byHand(false, 1) // another process took it out and put it back
+	for i, w := range k.d.workers {
+		if got := k.d.warmth(w); got > s.ColdFrom {
+			t.Errorf("worker %d: warmth %v at the call back, want %v", i, got, s.ColdFrom)
+		}
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -341,7 +341,8 @@
 	told     bool    // on the list
 	met      bool    // has been
 	out      bool    // left out by hand, whatever the list says
-	backAt   Time    // when that ended last; 0: never
+	outAt    Time    // when that began last ...
+	backAt   Time    // ... and ended; 0: never
 	owedAt   Time    // when it is to get a job at the latest
 	newsAt   Time    // of its first start or last restart
 	room     float64 // slots; below 1: others fill it
@@ -368,9 +369,14 @@
 // isReady says whether the newest list takes the worker for one that may be sent to, and nobody has taken it out by hand.
 func (w *worker) isReady() bool { return w.told && w.State == Ready && !w.out }
 
-// start is when the worker started last, as far as is known: the operators start it anew while it is out, and the list may
-// tell so late or never.
-func (w *worker) start() Time { return max(w.StartedAt, w.backAt) }
+// start is when the worker started last, as far as is known: the operators start it anew while it is out. Where the list
+// has not told a start since, it counts as started at the call back.
+func (w *worker) start() Time {
+	if w.StartedAt > w.outAt {
+		return w.StartedAt
+	}
+	return w.backAt
+}
 
 // sign takes a worker's sign of life.
 func (w *worker) sign() { w.silent, w.gap = false, 0 }
@@ -856,9 +862,14 @@
 	w := d.meet(e.Worker)
 	if e.Kind == PutBack {
 		w.backAt = max(w.backAt, d.now-max(e.Elapsed, 0))
+		if !w.out { // another process of ours took it out: when, it did not say
+			w.outAt = w.backAt
+		}
 	}
 	if out := e.Kind == TakenOut; w.out != out {
-		if w.out = out; !out {
+		if w.out = out; out {
+			w.outAt = d.now
+		} else {
 			d.welcome(w)
 			d.owe(w)
 		}
