--- /dev/null
+++ b/cmd/birchfork/service_test.go
@@ -0,0 +1,303 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// asProgram makes this test's own binary the program: real processes without a build of their own.
+const asProgram = "BIRCHFORK_TEST_AS_PROGRAM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		os.Exit(run(os.Args[1:], output{os.Stdout, os.Stderr}))
+	}
+	os.Exit(m.Run())
+}
+
+// town is stand-ins of ours on loopback: a discovery, workers that count what reaches them, clients that count every
+// request's end.
+type town struct {
+	t         *testing.T
+	dir       string
+	discovery string
+	listen    string
+	class     atomic.Value // that clients ask for
+
+	mu      sync.Mutex
+	at      []int          // requests by worker
+	effects map[string]int // by request
+
+	served, other atomic.Int64
+	last          atomic.Value // what the last other end was
+	quit          chan struct{}
+	clients       sync.WaitGroup
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+const townWorkers = 3
+
+func newTown(t *testing.T) *town {
+	w := &town{t: t, dir: t.TempDir(), listen: freeAddress(t), at: make([]int, townWorkers), effects: map[string]int{}, quit: make(chan struct{})}
+	w.class.Store("book")
+	var entries []string
+	for i := range townWorkers {
+		s := httptest.NewServer(http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
+			id := r.Header.Get("X-Request-Id")
+			w.mu.Lock()
+			w.at[i]++
+			w.effects[id]++
+			w.mu.Unlock()
+			time.Sleep(5 * time.Millisecond)
+			fmt.Fprintf(out, "{\"id\":%q,\"state\":\"done\",\"result\":\"r\"}\n", id)
+		}))
+		t.Cleanup(s.Close)
+		entries = append(entries, fmt.Sprintf(`{"name":"w%d","address":%q,"zone":"a","type":"big","status":"up","weight":1}`, i, s.Listener.Addr()))
+	}
+	gone := make(chan struct{})
+	d := httptest.NewServer(http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
+		fmt.Fprintf(out, `{"index":1,"snapshot":true,"endpoints":[%s]}`+"\n", strings.Join(entries, ","))
+		if r.URL.Query().Get("follow") != "" {
+			out.(http.Flusher).Flush()
+			<-gone
+		}
+	}))
+	t.Cleanup(d.Close)
+	t.Cleanup(func() { close(gone) })
+	w.discovery = d.Listener.Addr().String()
+	w.configure("book")
+	return w
+}
+
+func (w *town) configPath() string { return filepath.Join(w.dir, "config.json") }
+
+// configure writes a configuration whose one class never runs twice.
+func (w *town) configure(class string) {
+	w.t.Helper()
+	text := fmt.Sprintf(`{"name":"n","listen":%q,"discovery":%q,"seed":"1","limits":{"cores":1,"memory_mb":64,"sockets":256},
+		"settings":{"classes":[{"name":%q,"deadline":5,"aim":2,"effect":"single_shot"}],"zones":["a"],"zone":"a","machine_types":["big"],
+		"policy_limits":{"attempts_cap":3,"connect_timeout":0.5,"idle_close":20}}}`, w.listen, w.discovery, class)
+	if class == "" {
+		text = text[:len(text)/2]
+	}
+	if err := os.WriteFile(w.configPath(), []byte(text), 0o600); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+type process struct {
+	*exec.Cmd
+	operator string
+	log      string
+}
+
+// start starts the program and waits until it says that it can serve.
+func (w *town) start() *process {
+	w.t.Helper()
+	p := &process{Cmd: exec.Command(os.Args[0], "serve", "--config", w.configPath()), operator: freeAddress(w.t)}
+	p.log = filepath.Join(w.dir, "log-"+p.operator)
+	f, err := os.Create(p.log)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	defer f.Close()
+	p.Stderr = f
+	p.Env = append(os.Environ(), asProgram+"=1", "EDGE_OPERATOR="+p.operator, "TMPDIR="+w.dir)
+	if err := p.Start(); err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() { p.Process.Kill() })
+	w.until("it can serve", func() bool { return p.call("GET", "/-/ready") == 200 })
+	return p
+}
+
+// call is an operator's call; 0 where it has no answer.
+func (p *process) call(method, path string) int {
+	req, err := http.NewRequest(method, "http://"+p.operator+path, nil)
+	if err != nil {
+		return 0
+	}
+	req.Close = true
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	res.Body.Close()
+	return res.StatusCode
+}
+
+// end sends SIGTERM and waits for an orderly end.
+func (w *town) end(p *process) {
+	w.t.Helper()
+	p.Process.Signal(syscall.SIGTERM)
+	if err := p.Wait(); err != nil {
+		w.t.Errorf("it ended with %v", err)
+	}
+}
+
+func (w *town) until(what string, ok func() bool) {
+	w.t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			logs, _ := filepath.Glob(filepath.Join(w.dir, "log-*"))
+			for _, l := range logs {
+				text, _ := os.ReadFile(l)
+				w.t.Logf("%s", text)
+			}
+			w.t.Fatalf("not so in time: %s (served %d, else %d: %v)", what, w.served.Load(), w.other.Load(), w.last.Load())
+		}
+	}
+}
+
+// client asks for one job after the other on connections that it keeps. One that is closed before anything of an answer
+// came is tried once more on a new one, as the platform's clients do.
+func (w *town) client(c int) {
+	defer w.clients.Done()
+	var conn net.Conn
+	var in *bufio.Reader
+	ask := func(id, class string) (status int, err error) {
+		if conn == nil {
+			if conn, err = net.Dial("tcp", w.listen); err != nil {
+				return 0, err
+			}
+			in = bufio.NewReader(conn)
+		}
+		fmt.Fprintf(conn, "POST /%s HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Deadline-Ms: 5000\r\nContent-Length: 0\r\n\r\n",
+			class, id, class)
+		res, err := http.ReadResponse(in, nil)
+		if err == nil {
+			_, err = io.Copy(io.Discard, res.Body)
+		}
+		if err != nil || res.Close {
+			conn.Close()
+			conn = nil
+		}
+		if err != nil {
+			return 0, err
+		}
+		return res.StatusCode, nil
+	}
+	for i := 0; ; i++ {
+		select {
+		case <-w.quit:
+			if conn != nil {
+				conn.Close()
+			}
+			return
+		case <-time.After(2 * time.Millisecond):
+		}
+		id, class := fmt.Sprintf("c%d-%d", c, i), w.class.Load().(string)
+		kept := conn != nil
+		status, err := ask(id, class)
+		if err != nil && kept {
+			status, err = ask(id, class)
+		}
+		if status == 200 {
+			w.served.Add(1)
+			continue
+		}
+		w.other.Add(1)
+		w.last.Store(fmt.Sprintf("%s: %d, %v", id, status, err))
+	}
+}
+
+// more waits until so many more requests are served.
+func (w *town) more(n int64) {
+	w.t.Helper()
+	from := w.served.Load()
+	w.until("requests are served", func() bool { return w.served.Load() >= from+n })
+}
+
+func (w *town) sentTo(i int) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.at[i]
+}
+
+// A day in service, with real processes: a runner out by hand over an upgrade, new settings, a broken file, the runner's
+// return. Every request is served, once.
+func TestADayInService(t *testing.T) {
+	w := newTown(t)
+	old := w.start()
+	for c := range 6 {
+		w.clients.Add(1)
+		go w.client(c)
+	}
+	w.more(100)
+	wants := func(p *process, path string, want int) {
+		t.Helper()
+		if got := p.call("POST", path); got != want {
+			t.Errorf("%s: %d, want %d", path, got, want)
+		}
+	}
+	wants(old, "/-/runners/nobody/disable", 404)
+	wants(old, "/-/runners/w0/disable", 200)
+	w.more(50) // what was on its way has come
+	out := w.sentTo(0)
+
+	young := w.start()
+	w.more(50)
+	w.end(old)
+	w.more(100)
+	third := w.start() // and one more
+	w.end(young)
+	w.more(100)
+	if n := w.sentTo(0); n != out {
+		t.Errorf("%d jobs went to the runner that is out", n-out)
+	}
+
+	w.configure("")
+	third.Process.Signal(syscall.SIGHUP)
+	w.until("the broken file is refused", func() bool { return strings.Contains(text(third.log), "the old one stays") })
+	w.more(50)
+	if w.other.Load() != 0 {
+		t.Errorf("%d requests were not served, the last: %v", w.other.Load(), w.last.Load())
+	}
+	w.configure("sell")
+	third.Process.Signal(syscall.SIGHUP)
+	w.until("the new settings are in force", func() bool { return strings.Contains(text(third.log), "classes_new=sell") })
+	w.class.Store("sell")
+	w.more(100)
+	wants(third, "/-/runners/w0/enable", 200)
+	w.until("the runner is used again", func() bool { return w.sentTo(0) > out })
+	close(w.quit)
+	w.clients.Wait()
+	w.end(third)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, n := range w.effects {
+		if n > 1 {
+			t.Errorf("%s ran %d times", id, n)
+		}
+	}
+	if left, _ := filepath.Glob(filepath.Join(w.dir, "birchfork-n", "process-*")); len(left) > 0 {
+		t.Errorf("left: %v", left)
+	}
+}
+
+func text(path string) string {
+	b, _ := os.ReadFile(path)
+	return string(b)
+}
