Name bad ports and missing keys by key, and let check see the door's address

A port of 99999 passed check and failed at the start; check did not read EDGE_OPERATOR; a file at SIGHUP without a deadline was refused with the module's words, and keys that were missing beside another fault were not named.

Two races seen by reading, in a process that starts beside another: its listener and the count of others were read by the drain and written by others. One that is told to end before its yes ends at once now, as it has no client, in place of draining for seconds. Shares of descriptors stay above 0 among many processes, as 0 clients meant no limit. The wait for the shared lock is 50 ms in place of 200, as calls at the door wait behind it.

Taken out as it could be derived: a worker's address, start and readiness beside its entry in the store, the worker that is owed first, the test of readiness in Up, the method that was cut out of an answer's text. Tests share the start of a dispatcher and the decoding of settings.

--- a/cmd/birchfork/main.go
+++ b/cmd/birchfork/main.go
@@ -62,12 +62,13 @@
 type check struct {
 	Config   string `arg:"" help:"The configuration, a JSON file." env:"EDGE_CONFIG"`
 	Operator string `help:"The operator's own file, TOML." env:"BIRCHFORK_OPERATOR" placeholder:"FILE"`
+	Admin    string `name:"operator-address" help:"The operators' door, host:port, in place of the configuration's." env:"EDGE_OPERATOR" placeholder:"ADDRESS"`
 	Explain  bool   `help:"Print what is in force for each class and route, and where each figure comes from."`
 }
 
 // Run names every fault, a line each.
 func (c *check) Run(out output) error {
-	cfg, err := node.LoadAll(c.Config, c.Operator, "")
+	cfg, err := node.LoadAll(c.Config, c.Operator, c.Admin)
 	if err != nil {
 		fmt.Fprintln(out.std, err)
 		return fmt.Errorf("%s is not fit to serve by", strings.TrimSuffix(c.Config+" with "+c.Operator, " with "))
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -83,12 +83,12 @@
 			c.owe(true)
 			defer c.owe(false)
 		}
-		status, text := answer(s, r)
+		status, text, allow := answer(s, r)
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		w.Header().Set("Content-Length", strconv.Itoa(len(text)+1))
 		w.Header().Set("Connection", "close")
-		if status == http.StatusMethodNotAllowed {
-			w.Header().Set("Allow", text[strings.LastIndexByte(text, ' ')+1:])
+		if allow != "" {
+			w.Header().Set("Allow", allow)
 		}
 		w.WriteHeader(status)
 		fmt.Fprintln(w, text)
@@ -96,22 +96,22 @@
 	})
 }
 
-// answer carries a call out and words its answer, one line.
-func answer(s Service, r *http.Request) (status int, text string) {
+// answer carries a call out and words its answer, one line; allow is the path's method where the call has another.
+func answer(s Service, r *http.Request) (status int, text, allow string) {
 	c, status, text := find(s, r.URL.EscapedPath())
 	switch {
 	case status != 0:
-		return status, text
+		return status, text, ""
 	case r.Method != c.method:
-		return http.StatusMethodNotAllowed, "this path takes " + c.method
+		return http.StatusMethodNotAllowed, "this path takes " + c.method, c.method
 	}
 	switch err := c.do(); {
 	case err == nil:
-		return http.StatusOK, "yes"
+		return http.StatusOK, "yes", ""
 	case errors.Is(err, ErrUnknown):
-		return http.StatusNotFound, err.Error()
+		return http.StatusNotFound, err.Error(), ""
 	default:
-		return http.StatusServiceUnavailable, err.Error()
+		return http.StatusServiceUnavailable, err.Error(), ""
 	}
 }
 
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -18,7 +18,7 @@
 
 // Times and bounds.
 const (
-	lockWait   = 200 * time.Millisecond // for the other process to be through with a file: it may be stopped
+	lockWait   = 50 * time.Millisecond // for the other process to be through with a file: it may be stopped, and calls wait
 	lockRetry  = 5 * time.Millisecond
 	halfDone   = 1 * time.Minute // a file that is not in its place after so long never will be
 	forgetWord = 1 * time.Hour   // a runner that was put back so long ago is warm, and its word of no use
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -66,26 +66,37 @@
 	Settings  json.RawMessage `json:"settings"`
 }
 
-// Load reads a configuration file; admin, if not empty, is the operators' address in place of the file's. Its error names
+// Load reads a configuration file alone; admin, if not empty, is the operators' address in place of the file's. Its error names
 // every fault, a line each.
 func Load(path, admin string) (*Config, error) {
+	return LoadAll(path, "", admin)
+}
+
+// LoadAll reads a configuration as Load does, and the operator's file beside it; an empty path is none.
+func LoadAll(path, operator, admin string) (*Config, error) {
+	raw, err := read(path)
+	if err != nil {
+		return nil, err
+	}
+	return assemble(raw, path, operator, admin)
+}
+
+func read(path string) ([]byte, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("reading the configuration: %w", err)
 	}
+	return raw, nil
+}
+
+// assemble decodes what was read at path, and reads the operator's file beside it.
+func assemble(raw []byte, path, operator, admin string) (*Config, error) {
 	c, err := decode(raw, admin)
 	if err != nil {
 		return nil, err
 	}
-	c.Path = path
-	return c, nil
-}
-
-// LoadAll reads a configuration as Load does, and the operator's file beside it; an empty path is none.
-func LoadAll(path, operator, admin string) (*Config, error) {
-	c, err := Load(path, admin)
-	if err != nil || operator == "" {
-		return c, err
+	if c.Path = path; operator == "" {
+		return c, nil
 	}
 	_, clients, _ := c.share(1)
 	c.platform = config.Platform{
@@ -111,7 +122,8 @@
 // from clients up to which requests are taken, and up to which they may wait.
 func (c *Config) share(processes int) (runners, clients, hard int) {
 	sockets := c.Limits.Sockets/processes - otherSockets - c.Limits.Sockets/otherPart/processes - c.doors()/processes
-	runners = int(float64(sockets) * runnerShare)
+	sockets = max(sockets, 3) // among many processes; one to a worker and two to clients, as 0 would be no limit
+	runners = max(int(float64(sockets)*runnerShare), 1)
 	return runners, int(float64(sockets-runners) * clientReserve), sockets - runners
 }
 
@@ -130,7 +142,7 @@
 	var faults []error
 	fault := func(format string, v ...any) { faults = append(faults, fmt.Errorf(format, v...)) }
 	for _, a := range []struct{ name, v string }{{"listen", c.Listen}, {"discovery", c.Discovery}, {"operator", c.Admin}} {
-		if _, port, err := net.SplitHostPort(a.v); (err != nil || port == "") && (a.name != "operator" || a.v != "") {
+		if !isAddress(a.v) && (a.name != "operator" || a.v != "") {
 			fault("%s: %q is not host:port", a.name, a.v)
 		}
 	}
@@ -167,6 +179,16 @@
 	return c, nil
 }
 
+// isAddress tells whether v is host:port with a port of TCP's.
+func isAddress(v string) bool {
+	_, port, err := net.SplitHostPort(v)
+	if err != nil {
+		return false
+	}
+	_, err = strconv.ParseUint(port, 10, 16)
+	return err == nil
+}
+
 func (c *Config) decodeSettings(raw json.RawMessage) error {
 	if len(raw) == 0 {
 		return errors.New("settings: they are missing")
@@ -176,7 +198,8 @@
 		return err
 	}
 	shape := checkShape(p)
-	if err := errors.Join(p.Err(), shape, checkNames(p)); err != nil { // its part of err, and what checkShape alone has read
+	shape = errors.Join(shape, checkNames(p), checkFigures(p))
+	if err := errors.Join(p.Err(), shape); err != nil { // its part of err, and what checkShape alone has read
 		return err
 	}
 	c.MostOpen = p.Whole("policy_limits.open_cap", 0)
--- a/internal/node/door_test.go
+++ b/internal/node/door_test.go
@@ -14,15 +14,7 @@
 func (w *world) withDoor(t *testing.T) *node {
 	t.Helper()
 	raw := strings.Replace(configText(w.discovery, w.worker, "5"), `"name":"n1",`, `"name":"n1","operator":"127.0.0.1:0",`, 1)
-	c, err := Decode([]byte(raw))
-	if err != nil {
-		t.Fatal(err)
-	}
-	n, err := start(c, quiet(), nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return n
+	return startWith(t, raw, func(*Config) {})
 }
 
 // call is an operator's call.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -121,7 +121,7 @@
 	sharing   sync.WaitGroup
 
 	process  *handover.Process // what other processes of this dispatcher know of us, and we of them
-	beside   int               // others that were alive when we looked last
+	beside   atomic.Int32      // others that were alive when we looked last
 	kept     uint64            // the news of the list that was left for others last
 	troubled string            // what went wrong with sharing last: said once
 }
@@ -131,9 +131,9 @@
 func start(c *Config, log logrus.FieldLogger, module store.Decider) (*node, error) {
 	n := &node{config: c, log: log, served: make(chan error, 1), listening: make(chan struct{}), process: &handover.Process{}}
 	n.claim()
-	n.beside = n.process.Others().Alive
+	n.beside.Store(int32(n.process.Others().Alive))
 	seed := c.Seed
-	if n.beside > 0 {
+	if n.beside.Load() > 0 {
 		seed += uint64(n.process.Number()) // two with one sequence would draw alike
 	}
 	var err error
@@ -183,7 +183,7 @@
 
 // open opens the operators' door and listens for clients.
 func (n *node) open(ctx context.Context) error {
-	if n.beside > 0 {
+	if n.beside.Load() > 0 {
 		if err := n.openDoor(); err != nil {
 			return err
 		}
@@ -221,10 +221,11 @@
 	if err := n.process.Serving(); err != nil {
 		n.log.WithError(err).Error("other processes of this dispatcher do not hear that this one serves")
 	}
-	runners, clients, _ := n.config.share(n.beside + 1)
+	beside := int(n.beside.Load())
+	runners, clients, _ := n.config.share(beside + 1)
 	n.log.WithFields(logrus.Fields{
 		"name": n.config.Name, "listen": n.address.String(), "known": len(n.config.Known.Entries), "clients_most": clients,
-		"runners_most": runners, "beside": n.beside,
+		"runners_most": runners, "beside": beside,
 	}).Info("serving")
 	return l, nil
 }
@@ -322,6 +323,13 @@
 	if err := n.process.Leaving(); err != nil {
 		n.log.WithError(err).Error("other processes of this dispatcher do not hear that this one leaves")
 	}
+	select {
+	case <-n.listening:
+	default: // it never had a client, and the process beside it has all: nothing is owed
+		n.front.Leave()
+		n.log.Info("stopping before it took clients")
+		return n.end()
+	}
 	if n.listener != nil && n.process.Others().Serving {
 		return n.yield()
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -56,6 +56,9 @@
 	}{
 		{[2]string{`"listen":"127.0.0.1:0"`, `"listen":"here"`}, "listen"},
 		{[2]string{`"discovery":"127.0.0.1:8500"`, `"discovery":""`}, "discovery"},
+		{[2]string{`"discovery":"127.0.0.1:8500"`, `"discovery":"127.0.0.1:85000"`}, "discovery"},
+		{[2]string{`"attempts_cap":3`, `"attempts_cap":0`}, "attempts_cap: 0 is not above 0"},
+		{[2]string{`"deadline":5,`, ``}, "classes.0.deadline: it is missing"},
 		{[2]string{`"name":"n1"`, `"operator":"here"`}, "operator"},
 		{[2]string{`"name":"n1","listen":"127.0.0.1:0"`, `"operator":"127.0.0.1:5","listen":"127.0.0.1:5"`}, "operator"},
 		{[2]string{`"cores":1.0`, `"cores":0`}, "limits.cores"},
@@ -63,7 +66,7 @@
 		{[2]string{`"sockets":1024`, `"sockets":9`}, "limits.sockets"},
 		{[2]string{`"status":"up"`, `"status":"odd"`}, "known"},
 		{[2]string{`"snapshot":true`, `"snapshot":3`}, "known"},
-		{[2]string{`"deadline":5`, `"deadline":0`}, "Classes[0]"},
+		{[2]string{`"deadline":5`, `"deadline":0`}, "classes.0.deadline: 0 is not above 0"},
 		{[2]string{`"effect":"free"`, `"effect":"odd"`}, "classes.0.effect"},
 		{[2]string{`"settings":`, `"other":`}, "settings"},
 		{[2]string{`"name":"n1"`, `"name":1`}, "configuration"},
@@ -194,10 +197,17 @@
 
 func (w *world) start(t *testing.T, deadline string) *node {
 	t.Helper()
-	c, err := Decode([]byte(configText(w.discovery, w.worker, deadline)))
+	return startWith(t, configText(w.discovery, w.worker, deadline), func(*Config) {})
+}
+
+// startWith starts a dispatcher with a configuration that a test changes.
+func startWith(t *testing.T, raw string, change func(*Config)) *node {
+	t.Helper()
+	c, err := Decode([]byte(raw))
 	if err != nil {
 		t.Fatal(err)
 	}
+	change(c)
 	n, err := start(c, quiet(), nil)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -32,9 +32,11 @@
 	if was.Operator != nil {
 		operator = was.Operator.Path
 	}
-	c, err := LoadAll(was.Path, operator, was.Admin)
+	raw, err := read(was.Path)
+	var c *Config
 	if err == nil {
-		err = lacks(was.raw, c.raw)
+		c, err = assemble(raw, was.Path, operator, was.Admin)
+		err = errors.Join(err, lacks(was.raw, raw))
 	}
 	if err != nil {
 		n.store.Counters.BadReloads.Add(1)
@@ -90,8 +92,8 @@
 // and go, but each has what all of the old ones have.
 func lacks(old, now json.RawMessage) error {
 	var a, b any
-	if err := errors.Join(json.Unmarshal(old, &a), json.Unmarshal(now, &b)); err != nil {
-		return fmt.Errorf("the configuration: %w", err)
+	if json.Unmarshal(old, &a) != nil || json.Unmarshal(now, &b) != nil {
+		return nil // Decode says so
 	}
 	var faults []error
 	missing(a, b, "", "", &faults)
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -6,6 +6,8 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"github.com/sirupsen/logrus"
 )
 
 const tuned = `{"name":"n","listen":"l","limits":{"cores":1},"known":{"index":1},"seed":"s","settings":{
@@ -90,9 +92,18 @@
 		write(raw)
 		n.reload()
 	}
+	var said lines
+	n.log.(*logrus.Logger).SetOutput(&said)
+	write(strings.Replace(renamed, `"deadline":5,"aim":0.4,`, `"deadline":0,`, 1))
+	n.reload()
+	for _, want := range []string{"classes.0.deadline: 0 is not above 0", "settings.classes.0.aim: it is missing"} {
+		if !said.has(want) {
+			t.Errorf("the log's entry lacks %q", want)
+		}
+	}
 	os.Remove(path)
 	n.reload()
-	want := int64(len(bad) + 1)
+	want := int64(len(bad) + 2)
 	if got := n.store.Counters.BadReloads.Load(); got != want || n.store.Counters.Reloads.Load() != 0 {
 		t.Errorf("%d of %d were refused", got, want)
 	}
--- a/internal/node/shape.go
+++ b/internal/node/shape.go
@@ -86,3 +86,23 @@
 	}
 	return errors.Join(faults...)
 }
+
+// checkFigures names the figures without which nothing could be served, by key. The module refuses them too, in its own words.
+func checkFigures(p *settings.Pairs) error {
+	var faults []error
+	if n := p.Whole("policy_limits.attempts_cap", 1); n < 1 {
+		faults = append(faults, fmt.Errorf("setting policy_limits.attempts_cap: %d is not above 0", n))
+	}
+	for i := range p.Whole("classes.count", 0) {
+		key := fmt.Sprintf("classes.%d.deadline", i)
+		switch p.Text(key, "") {
+		case "":
+			faults = append(faults, fmt.Errorf("setting %s: it is missing", key))
+		default:
+			if v := p.Number(key, 0); v <= 0 {
+				faults = append(faults, fmt.Errorf("setting %s: %v is not above 0", key, v))
+			}
+		}
+	}
+	return errors.Join(faults...)
+}
--- a/internal/node/share.go
+++ b/internal/node/share.go
@@ -48,7 +48,7 @@
 	case err != nil:
 		n.log.WithError(err).Warn("a list that is left from before is passed over")
 		return c.Known
-	case len(l.Entries) == 0, n.beside == 0 && l.Index <= c.Known.Index:
+	case len(l.Entries) == 0, n.beside.Load() == 0 && l.Index <= c.Known.Index:
 		return c.Known
 	}
 	l.Whole, l.Stale = true, true
@@ -66,9 +66,9 @@
 		case <-t.C:
 		}
 		n.exchange()
-		if alive := n.process.Others().Alive; alive != n.beside {
+		if alive := int32(n.process.Others().Alive); alive != n.beside.Load() {
 			n.log.WithField("beside", alive).Info("other processes of this dispatcher came or went: limits are shared anew")
-			n.beside = alive
+			n.beside.Store(alive)
 			n.shareOut()
 		}
 		if i%keepEvery == 0 {
@@ -118,7 +118,7 @@
 
 // shareOut takes our part of what the platform leaves this dispatcher.
 func (n *node) shareOut() {
-	processes := n.beside + 1
+	processes := int(n.beside.Load()) + 1
 	runners, clients, hard := n.config.share(processes)
 	n.pool.SetMost(runners)
 	n.front.Clients.SetMost(clients, hard)
--- a/internal/node/upgrade_test.go
+++ b/internal/node/upgrade_test.go
@@ -17,18 +17,13 @@
 	"birchfork/internal/handover"
 )
 
+// asSuccessor changes a configuration into that of a process beside n.
+func (n *node) asSuccessor(c *Config) { c.Listen, c.Admin = n.address.String(), "127.0.0.1:0" }
+
 // upgrade starts another process of the same dispatcher beside n.
 func (w *world) upgrade(t *testing.T, n *node) *node {
 	t.Helper()
-	c, err := Decode([]byte(configText(w.discovery, w.worker, "5")))
-	if err != nil {
-		t.Fatal(err)
-	}
-	c.Listen, c.Admin = n.address.String(), "127.0.0.1:0"
-	young, err := start(c, quiet(), nil)
-	if err != nil {
-		t.Fatal(err)
-	}
+	young := startWith(t, configText(w.discovery, w.worker, "5"), n.asSuccessor)
 	await(t, "the new one says yes", func() bool { s, _ := young.call(t, "GET", "/-/ready"); return s == 200 })
 	return young
 }
@@ -178,15 +173,12 @@
 	w := newWorld(t)
 	old := w.withDoor(t)
 	await(t, "the list is left", func() bool { l, _ := old.process.List(); return l != nil })
-	c, err := Decode([]byte(strings.Replace(configText("127.0.0.1:1", "127.0.0.1:2", "5"), `"name":"w"`, `"name":"gone"`, 1)))
-	if err != nil {
-		t.Fatal(err)
-	}
-	c.Listen, c.Admin = old.address.String(), "127.0.0.1:0"
-	young, err := start(c, quiet(), nil)
-	if err != nil {
-		t.Fatal(err)
+	raw := strings.Replace(configText("127.0.0.1:1", "127.0.0.1:2", "5"), `"name":"w"`, `"name":"gone"`, 1)
+	ended := startWith(t, raw, old.asSuccessor) // told to end before its yes: it has nothing to finish
+	if err := ended.stop(); err != nil || ended.listener != nil {
+		t.Errorf("%v, it listens: %v", err, ended.listener != nil)
 	}
+	young := startWith(t, raw, old.asSuccessor)
 	l, _ := young.store.List()
 	if len(l.Entries) != 1 || l.Entries[0].Name != "w" || l.Entries[0].Address != w.worker || !l.Stale || l.Index != 41 {
 		t.Errorf("%+v", l)
--- a/internal/store/hand.go
+++ b/internal/store/hand.go
@@ -58,7 +58,7 @@
 	}
 	if w.out != h.Out {
 		w.out = h.Out
-		s.onNews(WorkerNews{w.addr}) // what is open leads to a process that ends, or has ended
+		s.onNews(WorkerNews{w.entry.Address}) // what is open leads to a process that ends, or has ended
 	}
 	e := rules.Event{Kind: rules.TakenOut, Worker: id}
 	if !h.Out {
--- a/internal/store/list.go
+++ b/internal/store/list.go
@@ -27,16 +27,16 @@
 
 // workerView is what the store itself remembers of a worker.
 type workerView struct {
-	entry   Entry // as it was told last
-	addr    string
-	ready   bool
-	since   int64
+	entry   Entry      // as it was told last
 	started rules.Time // since on the module's clock
 	out     bool       // left out by hand
 	handAt  time.Time  // when the operators spoke of it last
 	hand    int        // how often it was: what was ordered before does not go out after
 }
 
+// ready says whether something may be sent there, by the list alone.
+func (w *workerView) ready() bool { return w.entry.State == rules.Ready && w.entry.Address != "" }
+
 // WorkerNews says that connections to an address are of no use any more: its worker has moved, restarted or is leaving.
 type WorkerNews struct{ Address string }
 
@@ -52,7 +52,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i := range s.workers {
-		if s.workers[i].ready && !s.workers[i].out {
+		if s.workers[i].ready() && !s.workers[i].out {
 			return true, s.fresh
 		}
 	}
@@ -127,10 +127,10 @@
 			if told[rules.WorkerID(id)] {
 				continue
 			}
-			s.workers[id].entry.State = rules.Gone
-			if s.workers[id].ready { // who is missing has left
-				s.workers[id].ready = false
-				s.onNews(WorkerNews{s.workers[id].addr})
+			w := &s.workers[id] // who is missing has left
+			was := w.ready()
+			if w.entry.State = rules.Gone; was {
+				s.onNews(WorkerNews{w.entry.Address})
 			}
 		}
 	}
@@ -161,17 +161,17 @@
 // the wall clock would move it, and a moved start is a restart to the module.
 func (s *Store) view(id rules.WorkerID, n *Entry) rules.Time {
 	w := s.viewOf(id)
-	if w.addr != "" && (w.addr != n.Address || w.since != n.Since || w.ready && n.State != rules.Ready) {
-		s.onNews(WorkerNews{w.addr})
+	old := w.entry
+	if old.Address != "" && (old.Address != n.Address || old.Since != n.Since || w.ready() && n.State != rules.Ready) {
+		s.onNews(WorkerNews{old.Address})
 	}
-	if w.since != n.Since {
-		w.since, w.started = n.Since, 0
+	if old.Since != n.Since {
+		w.started = 0
 		if n.Since > 0 {
 			now := time.Now()
 			w.started = max(s.at(now)-rules.Time(now.UnixMicro()-n.Since*1000), 0)
 		}
 	}
 	w.entry = *n
-	w.addr, w.ready = n.Address, n.State == rules.Ready && n.Address != ""
 	return w.started
 }
--- a/internal/store/request.go
+++ b/internal/store/request.go
@@ -226,7 +226,7 @@
 	t := &Attempt{r: r, number: len(r.attempts), worker: a.Worker, sentAt: now}
 	if int(a.Worker) < len(r.s.workers) {
 		w := &r.s.workers[a.Worker]
-		t.addr, t.since, t.hand = w.addr, w.since, w.hand
+		t.addr, t.since, t.hand = w.entry.Address, w.entry.Since, w.hand
 	}
 	ctx, cancel := context.WithCancelCause(context.Background())
 	t.cancel = cancel
@@ -259,7 +259,7 @@
 		return false
 	}
 	w := &s.workers[a.worker]
-	return w.ready && !w.out && w.addr == a.addr && w.since == a.since && w.hand == a.hand
+	return w.ready() && !w.out && w.entry.Address == a.addr && w.entry.Since == a.since && w.hand == a.hand
 }
 
 // Started reports that the job began to run.
--- a/internal/store/retune_test.go
+++ b/internal/store/retune_test.go
@@ -4,17 +4,12 @@
 	"strings"
 	"testing"
 
-	"birchfork/internal/settings"
 	"birchfork/rules"
 )
 
 func (s *Store) retuneTo(t *testing.T, js string) {
 	t.Helper()
-	names := settings.NewNames()
-	set, _, err := settings.DecodeJSON([]byte(js), names)
-	if err != nil {
-		t.Fatal(err)
-	}
+	set, names := decoded(t, js)
 	s.Retune(Retuning{Settings: set, Names: names, MostOpen: 9})
 }
 
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -41,13 +41,19 @@
 const basic = `{"classes":[{"name":"search","deadline":5,"aim":0.4,"effect":"free"}],"zones":["a"],"zone":"a",
 	"machine_types":["big"],"customers":[{"name":"acme","quota_rps":9}],"policy_limits":{"attempts_cap":3}}`
 
-func newStore(t *testing.T, m *script) *Store {
+func decoded(t *testing.T, js string) (rules.Settings, *settings.Names) {
 	t.Helper()
 	names := settings.NewNames()
-	set, _, err := settings.DecodeJSON([]byte(basic), names)
+	set, _, err := settings.DecodeJSON([]byte(js), names)
 	if err != nil {
 		t.Fatal(err)
 	}
+	return set, names
+}
+
+func newStore(t *testing.T, m *script) *Store {
+	t.Helper()
+	set, names := decoded(t, basic)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	s, err := New(Options{Settings: set, Names: names, Seed: 1, MostOpen: 2, Log: log})
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -90,8 +90,8 @@
 // Up tells whether we can serve: some worker is up, and discovery has told so since our start. Where discovery is
 // silent the list kept from before has to do after a while.
 func (f *Front) Up() bool {
-	some, fresh := f.Store.Ready()
-	return some && (fresh || time.Since(f.born) > freshWait) && !f.leaving.Load()
+	some, _ := f.Store.Ready()
+	return some && f.Ready()
 }
 
 // Ready tells whether this process can serve: it knows the workers, from discovery or from before, and does not leave.
--- a/rules/hand_test.go
+++ b/rules/hand_test.go
@@ -211,12 +211,14 @@
 		k.byHand(false, w)
 	}
 	k.do(Event{Kind: ListChange, Workers: []Worker{{ID: 0, State: Gone}}, Version: 2})
-	if k.d.owed != k.d.workers[1] {
-		t.Errorf("first is %+v", k.d.owed)
+	k.wait(owedWithin)
+	k.do(Event{Kind: TimerFired})
+	if w := k.d.owed(); w != k.d.workers[1] {
+		t.Errorf("owed to %+v", w)
 	}
 	k.byHand(true, 1)
-	if k.d.owed != nil || len(k.d.owing) != 1 {
-		t.Errorf("owed %+v, owing %d", k.d.owed, len(k.d.owing))
+	if w := k.d.owed(); w != nil || len(k.d.owing) != 1 {
+		t.Errorf("owed to %+v, owing %d", w, len(k.d.owing))
 	}
 }
 
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -272,7 +272,7 @@
 
 // pick draws a random ready worker that may be used, of all zones the more often the longer starts wait near.
 func (d *Dispatcher) pick(j *job, near bool) *worker {
-	if w := d.owed; w != nil && near && j.first && j.step == 0 && j.class.Kind < 0 && d.now >= w.owedAt {
+	if w := d.owed(); w != nil && near && j.first && j.step == 0 && j.class.Kind < 0 {
 		return w
 	}
 	from, even := d.ready, 1.0
@@ -666,7 +666,6 @@
 		w.owedAt = w.backAt + owedAfter + Time(d.rng.Float64()*float64(owedWithin-owedAfter))
 		d.owing = append(d.owing, w)
 	}
-	d.nextOwed()
 }
 
 // welcome sets what is believed of a worker that is new or has restarted.
--- a/rules/state.go
+++ b/rules/state.go
@@ -403,7 +403,6 @@
 	zones    []zoneState
 	ready    []*worker
 	owing    []*worker // put back by hand and not used since
-	owed     *worker   // the one of them whose time comes first
 	near     []*worker // the ready ones in our own zone
 	ring     []point   // of the workers listed when it last grew, and some that have left since
 	fresh    []*worker // whose points are not in it yet
@@ -810,7 +809,6 @@
 		}
 	}
 	d.weight /= float64(max(1, len(d.ready)))
-	d.nextOwed()
 	for _, w := range d.ready {
 		if w.newsAt == d.now { // welcomed above, before the mean size was known
 			w.room = d.room * d.part(w)
@@ -882,16 +880,16 @@
 // paid says that a worker that was put back has got a job, or gets none, as it was taken out again.
 func (d *Dispatcher) paid(w *worker) {
 	d.owing = slices.DeleteFunc(d.owing, func(o *worker) bool { return o == w || o.out })
-	d.nextOwed()
 }
 
-func (d *Dispatcher) nextOwed() {
-	d.owed = nil
+// owed is a worker whose time has come to get a job; nil where there is none.
+func (d *Dispatcher) owed() *worker {
 	for _, w := range d.owing {
-		if w.isReady() && (d.owed == nil || w.owedAt < d.owed.owedAt) {
-			d.owed = w
+		if w.isReady() && d.now >= w.owedAt {
+			return w
 		}
 	}
+	return nil
 }
 
 // repick gives what is held at workers that are not ready another pick.
