Test fourteen guards of the new parts that nothing held

Found by taking each out in turn: nothing failed without the look for unread calls at the door, the end of an owed answer, waiting for half a request and cutting idle connections beside a process that serves, the seed of a second process, limits that sink, shares above 0, times of connections and advice at SIGHUP, bodies that are held while their budget changes, and refusals by the backlog at cold workers. No line of the program changed but that the seed has a function of its own.

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -9,6 +9,7 @@
 	"log"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -183,19 +184,52 @@
 	}
 }
 
-// A call that waits unread goes on where there are too many connections: a silent one goes in its place.
+// Where there are too many connections the oldest goes that owes nothing; one on which a call may wait unread goes last.
 func TestTheOldestSilentGoesFirst(t *testing.T) {
-	ours, theirs := net.Pipe()
-	defer ours.Close()
-	defer theirs.Close()
-	l := &listener{most: 2}
-	owed, silent, newest := &conn{Conn: ours, l: l, owed: true}, &conn{Conn: ours, l: l}, &conn{Conn: ours, l: l}
-	l.order = []*conn{owed, silent, newest}
-	if got := l.oldestSilent(newest); got != silent {
-		t.Fatalf("%p goes, want %p", got, silent)
-	}
-	silent.owed = true
-	if got := l.oldestSilent(newest); got != nil {
-		t.Fatal("a connection goes that is owed an answer")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	door := &listener{Listener: l, most: 9}
+	conns := make([]*conn, 4) // owed, with bytes unread, silent, newest
+	for i := range conns {
+		far, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer far.Close()
+		near, err := door.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer near.Close()
+		if conns[i] = near.(*conn); i == 1 {
+			io.WriteString(far, "GET")
+			for !conns[i].waiting() {
+				time.Sleep(time.Millisecond)
+			}
+		}
+	}
+	conns[0].owe(true)
+	for _, want := range []*conn{conns[2], conns[1], nil} {
+		if got := door.oldestSilent(conns[3]); got != want {
+			t.Fatalf("%p goes, want %p of %p", got, want, conns)
+		}
+		if want != nil {
+			want.owe(true)
+		}
+	}
+}
+
+// An answer is owed while a call is carried out, and not after: else callers that come often would fill the door.
+func TestAnAnswerIsOwedUntilItIsGiven(t *testing.T) {
+	c := &conn{l: &listener{}}
+	during := false
+	h := handler(Service{Ready: func() error { during = c.owed; return nil }})
+	r := httptest.NewRequest("GET", "/-/ready", nil)
+	h.ServeHTTP(httptest.NewRecorder(), r.WithContext(context.WithValue(r.Context(), connKey{}, c)))
+	if !during || c.owed {
+		t.Fatalf("owed during the call: %v, after: %v", during, c.owed)
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -132,10 +132,7 @@
 	n := &node{config: c, log: log, served: make(chan error, 1), listening: make(chan struct{}), process: &handover.Process{}}
 	n.claim()
 	n.beside.Store(int32(n.process.Others().Alive))
-	seed := c.Seed
-	if n.beside.Load() > 0 {
-		seed += uint64(n.process.Number()) // two with one sequence would draw alike
-	}
+	seed := n.seed()
 	var err error
 	n.store, err = store.New(store.Options{
 		Settings: c.Settings, Names: c.Names, Seed: seed, MostOpen: c.MostOpen, Log: log, Module: module,
@@ -181,6 +178,14 @@
 	return n, nil
 }
 
+// seed is for random numbers. Guards against two processes side by side that draw alike.
+func (n *node) seed() uint64 {
+	if n.beside.Load() > 0 {
+		return n.config.Seed + uint64(n.process.Number())
+	}
+	return n.config.Seed
+}
+
 // open opens the operators' door and listens for clients.
 func (n *node) open(ctx context.Context) error {
 	if n.beside.Load() > 0 {
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -60,7 +61,7 @@
 func TestReloadTakesSettingsWholeOrNotAtAll(t *testing.T) {
 	w := newWorld(t)
 	path := filepath.Join(t.TempDir(), "config.json")
-	good := configText(w.discovery, w.worker, "5")
+	good := strings.Replace(configText(w.discovery, w.worker, "5"), `"idle_close":4`, `"idle_close":4000`, 1)
 	write := func(raw string) {
 		t.Helper()
 		if err := os.WriteFile(path, []byte(raw), 0o600); err != nil {
@@ -79,6 +80,7 @@
 	defer n.stop()
 	defer close(w.release)
 	renamed := strings.Replace(strings.Replace(good, `"name":"search"`, `"name":"find"`, 1), `"attempts_cap":3`, `"attempts_cap":1`, 1)
+	renamed = strings.Replace(renamed, `"open_cap":70,"idle_close":4000`, `"open_cap":1,"idle_close":0.002,"retry_after":true,"max_retry_after":1`, 1)
 	bad := []string{"", "null", "[]", "{}", strings.Replace(renamed, `"deadline":5`, `"deadline":0`, 1),
 		strings.Replace(renamed, `"deadline":5`, `"deadline":-5`, 1), strings.Replace(renamed, `"deadline":5,`, ``, 1),
 		strings.Replace(renamed, `"attempts_cap":1`, `"attempts_cap":0`, 1), strings.Replace(renamed, `"effect":"free"`, `"effect":7`, 1),
@@ -124,8 +126,23 @@
 	if a := ask(n, "gone", "5000"); a.status != 404 {
 		t.Errorf("a class that is gone: %+v", a)
 	}
+	res, err := http.DefaultClient.Do(request(n, "find"))
+	if err != nil || res.StatusCode != 503 || res.Header.Get("Retry-After") != "0.200" {
+		t.Errorf("one over the new limit on open ones: %v, %+v", err, res)
+	}
 	w.release <- true
 	if a := <-answers; a.status != 200 {
 		t.Errorf("one under way: %+v", a)
 	}
+	await(t, "idle connections go by the new time", func() bool { _, idle := n.pool.Open(); return idle == 0 })
+}
+
+// request is a job of a class.
+func request(n *node, class string) *http.Request {
+	r, _ := http.NewRequest("POST", "http://"+n.address.String()+"/"+class, nil)
+	r.Close = true
+	r.Header.Set("X-Request-Id", "of-"+class)
+	r.Header.Set("X-Class", class)
+	r.Header.Set("X-Deadline-Ms", "5000")
+	return r
 }
--- a/internal/node/upgrade_test.go
+++ b/internal/node/upgrade_test.go
@@ -11,6 +11,7 @@
 	"runtime/debug"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -37,23 +38,27 @@
 	goroutines := runtime.NumGoroutine()
 	old := w.withDoor(t)
 	await(t, "it can serve", func() bool { s, _ := old.call(t, "GET", "/-/ready"); return s == 200 })
-	answers := make(chan result, 1)
-	go func() { answers <- ask(old, "held", "5000") }()
-	<-w.got
 	kept, err := net.Dial("tcp", old.address.String())
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer kept.Close()
 	in := bufio.NewReader(kept)
-	fmt.Fprint(kept, "GET /up HTTP/1.1\r\nHost: h\r\n\r\n")
-	if res, err := http.ReadResponse(in, nil); err != nil || res.Close {
+	fmt.Fprint(kept, "POST /search HTTP/1.1\r\nHost: h\r\nX-Request-Id: first\r\nX-Class: search\r\nX-Deadline-Ms: 5000\r\nContent-Length: 0\r\n\r\n")
+	<-w.got
+	w.release <- true
+	res, err := http.ReadResponse(in, nil)
+	if err != nil || res.Close || res.StatusCode != 200 {
 		t.Fatalf("%v, %+v", err, res)
 	}
+	io.Copy(io.Discard, res.Body)
+	answers := make(chan result, 1)
+	go func() { answers <- ask(old, "held", "5000") }()
+	<-w.got
 	old.wants(t, "POST", "/-/runners/w/disable", 200)
 
 	young := w.upgrade(t, old)
-	if old.config.Seed == 0 || young.process.Number() == old.process.Number() {
+	if young.seed() == young.config.Seed {
 		t.Error("both draw alike")
 	}
 	if out := young.store.Out(); len(out) != 1 || out[0] != "w" {
@@ -71,13 +76,13 @@
 	}
 	old.wants(t, "POST", "/-/runners/w/enable", 200) // operators may still ask the old one
 	await(t, "the new one hears it", func() bool { return len(young.store.Out()) == 0 })
+	if _, err := in.ReadByte(); err != io.EOF { // while it still holds a job: its client goes to the new one
+		t.Errorf("an idle connection: %v", err)
+	}
 	w.release <- true
 	if a := <-answers; a.status != 200 || !a.closed || a.err != nil {
 		t.Errorf("what the old one had: %+v", a)
 	}
-	if _, err := in.ReadByte(); err != io.EOF {
-		t.Errorf("an idle connection: %v", err)
-	}
 	if err := <-stopped; err != nil {
 		t.Error(err)
 	}
@@ -89,7 +94,7 @@
 	if !said.has("another process of this dispatcher serves") {
 		t.Error("it left as where nobody takes its place")
 	}
-	if f := old.store.Counters.Fields(); f["taken"] != int64(1) || f["served"] != int64(1) || f["gone"] != int64(0) {
+	if f := old.store.Counters.Fields(); f["taken"] != int64(2) || f["served"] != int64(2) || f["gone"] != int64(0) {
 		t.Error(f)
 	}
 
@@ -111,6 +116,48 @@
 	}
 }
 
+// A request that had begun to come when its process left is answered, though nothing else holds that process.
+func TestUpgradeWaitsForARequestThatHasBegun(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	keepLimits(t)
+	w := newWorld(t)
+	close(w.release)
+	old := w.withDoor(t)
+	await(t, "it can serve", func() bool { s, _ := old.call(t, "GET", "/-/ready"); return s == 200 })
+	c, err := net.Dial("tcp", old.address.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, "GET /up HTT")
+	await(t, "it has begun to come", func() bool { return old.front.Clients.Owing() == 1 })
+	young := w.upgrade(t, old)
+	stopped := make(chan error, 1)
+	go func() { stopped <- old.stop() }()
+	await(t, "it leaves", old.front.Stopping)
+	time.Sleep(yieldQuiet + 100*time.Millisecond)
+	io.WriteString(c, "P/1.1\r\nHost: h\r\n\r\n")
+	if res, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || !res.Close {
+		t.Errorf("%v, %+v", err, res)
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+	if err := young.stop(); err != nil {
+		t.Error(err)
+	}
+}
+
+// Among many processes each may still open a connection to a worker, and 0 clients would be no limit.
+func TestSharesStayAboveNothing(t *testing.T) {
+	c := &Config{Admin: "127.0.0.1:1", Limits: Limits{Sockets: leastSockets}}
+	for processes := range 20 {
+		if runners, clients, hard := c.share(processes + 1); runners < 1 || clients < 1 || hard < clients {
+			t.Errorf("%d processes: %d, %d, %d", processes+1, runners, clients, hard)
+		}
+	}
+}
+
 // A new process that ends before its yes leaves the old one as it was, and one that never can serve takes no client.
 func TestUpgradeThatFails(t *testing.T) {
 	t.Setenv("TMPDIR", t.TempDir())
--- a/internal/store/pool_test.go
+++ b/internal/store/pool_test.go
@@ -158,3 +158,28 @@
 		t.Fatalf("%d open, %d without a descriptor", open, c.NoDescriptor.Load())
 	}
 }
+
+// A limit that sinks closes idle connections at once, the longest idle first, and no more than are too many.
+func TestPoolFollowsItsLimit(t *testing.T) {
+	var c Counters
+	p := NewPool((&pipes{}).dial, &c, 4, time.Minute)
+	a, b, d := get(t, p, "h:1"), get(t, p, "h:1"), get(t, p, "h:1")
+	p.Put(a)
+	p.Put(b)
+	p.SetMost(2)
+	if open, idle := p.Open(); open != 2 || idle != 1 {
+		t.Fatalf("%d open, %d idle", open, idle)
+	}
+	if got := get(t, p, "h:1"); got != b {
+		t.Fatal("the one that was used last is not left")
+	}
+	if _, err := p.Get(context.Background(), "h:1"); !errors.Is(err, ErrNoDescriptor) {
+		t.Fatalf("over the limit: %v", err)
+	}
+	p.SetMost(1)
+	d.Close()
+	p.Put(b)
+	if open, _ := p.Open(); open != 1 {
+		t.Fatalf("%d open", open)
+	}
+}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1382,3 +1382,33 @@
 		t.Errorf("%d went to cold workers and %d were refused", cold, refused)
 	}
 }
+
+// A job that the work ahead would refuse may go to a cold worker that is drawn, but not one whose time has passed.
+func TestJobsThatTheBacklogRefusesGoToColdWorkers(t *testing.T) {
+	cold := func(left Time) (n int) {
+		k := newDesk(t, settings())
+		list := fleet(4)
+		for i := range 2 {
+			list[i].StartedAt = k.now - 15*Second
+		}
+		k.do(Event{Kind: ListSnapshot, Workers: list, Version: 1})
+		for i := range 200 {
+			k.d.waiting[onTime], k.d.inUse, k.d.held[onTime] = 1e6, 1, queue{} // far more ahead than can be waited for
+			old := &job{ticket: 1, heldAt: k.now - 9*Second}
+			k.d.held[onTime].push(old)
+			for _, a := range k.do(Event{Kind: Arrived, Request: RequestID(i), Tenant: -1, Work: 20 * ms, Left: left, Slots: 1}) {
+				if a.Kind == Send {
+					n++
+					k.run(RequestID(i), 0)
+				}
+			}
+		}
+		return n
+	}
+	if n := cold(5 * Second); n < 10 {
+		t.Errorf("%d of 200 went to cold workers", n)
+	}
+	if n := cold(100 * ms); n != 0 { // of five seconds, the rest has been used up by earlier tries
+		t.Errorf("%d jobs were sent that can earn nothing", n)
+	}
+}
