--- a/cmd/birchfork/main.go
+++ b/cmd/birchfork/main.go
@@ -18,9 +18,11 @@
 
 // commands is the command line.
 type commands struct {
-	Serve   serve   `cmd:"" help:"Serve until SIGTERM; SIGUSR1 logs the counters."`
-	Check   check   `cmd:"" help:"Read a configuration and name every fault in it."`
-	Version version `cmd:"" help:"Say which build this is."`
+	Serve   serve          `cmd:"" help:"Serve until SIGTERM; SIGUSR1 logs the counters."`
+	Check   check          `cmd:"" help:"Read a configuration and name every fault in it."`
+	Version version        `cmd:"" help:"Say which build this is."`
+	Group   groupCommands  `cmd:"" help:"The group of dispatchers that settles what machines are taken out."`
+	Outage  outageCommands `cmd:"" help:"Machines that are taken out for work."`
 	LabPart
 }
 
@@ -131,6 +133,9 @@
 	switch {
 	case errors.Is(err, errBroken):
 		return 2 // the lab's summary has said so
+	case errors.Is(err, errNotNow):
+		fmt.Fprintln(out.err, "birchfork:", err)
+		return 2
 	case err != nil:
 		fmt.Fprintln(out.err, "birchfork:", err)
 		return 1
--- /dev/null
+++ b/cmd/birchfork/outage.go
@@ -0,0 +1,342 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"birchfork/internal/council"
+	"birchfork/internal/outage"
+	"birchfork/internal/tomlfile"
+)
+
+// Times of a call.
+const (
+	waitEvery  = 300 * time.Millisecond // between looks whether a machine is clear
+	watchEvery = time.Second
+)
+
+// groupCommands are about the group itself.
+type groupCommands struct {
+	Found  groupFound  `cmd:"" help:"Begin the group, at the member that is named; the others join it by themselves."`
+	Status groupStatus `cmd:"" help:"Say who is in, who votes, who leads and who was heard of when."`
+	Retire groupRetire `cmd:"" help:"Say that a member runs no more: it is waited for no longer."`
+}
+
+// outageCommands are about machines that are taken out for work.
+type outageCommands struct {
+	Check  outageCheck  `cmd:"" help:"Look whether a plan could be handed in, and name every fault in it."`
+	Plan   outagePlan   `cmd:"" help:"Hand a plan in. Nothing happens before it is started."`
+	Start  outageStart  `cmd:"" help:"Let a plan begin."`
+	Pause  outagePause  `cmd:"" help:"Take no further machine."`
+	Resume outageResume `cmd:"" help:"Go on."`
+	Abort  outageAbort  `cmd:"" help:"Put back what nobody was told to be clear, take no further machine, and end."`
+	Status outageStatus `cmd:"" help:"Say how plans stand and what each machine waits for."`
+	Wait   outageWait   `cmd:"" help:"Wait until a machine is clear; from then on it is yours until done."`
+	Done   outageDone   `cmd:"" help:"Give a machine back: its runners were started anew."`
+	Skip   outageSkip   `cmd:"" help:"Leave a machine out of its plan, if nobody was told that it is clear."`
+}
+
+// members is whom a call goes to.
+type members struct {
+	At   []string `help:"Where members listen for the group, host:port; the next is asked where one does not answer." env:"BIRCHFORK_GROUP" required:"" placeholder:"ADDRESS"`
+	JSON bool     `name:"json" help:"Print the answer as JSON."`
+}
+
+// errNotNow says that a call cannot be answered with yes now: exit status 2.
+var errNotNow = errors.New("not now")
+
+// notNow is a reason for that.
+type notNow struct{ text string }
+
+func (e *notNow) Error() string        { return e.text }
+func (e *notNow) Is(target error) bool { return target == errNotNow }
+
+// ask makes a call until it is answered.
+func (m *members) ask(call council.Call) (*council.Reply, error) {
+	return (&council.Client{At: m.At}).Ask(context.Background(), call)
+}
+
+// tell prints an answer and turns it into the exit status.
+func (m *members) tell(out output, r *council.Reply) error {
+	if m.JSON {
+		raw, err := json.Marshal(r)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintln(out.std, string(raw))
+	}
+	switch {
+	case r.Code == outage.NotNow:
+		return &notNow{r.Text}
+	case r.Code != outage.Yes:
+		return errors.New(r.Text)
+	case !m.JSON && r.Text != "":
+		fmt.Fprintln(out.std, r.Text)
+	}
+	return nil
+}
+
+func (m *members) do(out output, call council.Call) error {
+	r, err := m.ask(call)
+	if err != nil {
+		return err
+	}
+	return m.tell(out, r)
+}
+
+func (m *members) command(out output, c outage.Command) error {
+	return m.do(out, council.Call{Command: &c})
+}
+
+type groupFound struct{ members }
+
+// Run founds the group.
+func (g *groupFound) Run(out output) error { return g.do(out, council.Call{Found: true}) }
+
+type groupRetire struct {
+	members
+	Name string `arg:"" help:"The member."`
+}
+
+// Run retires a member.
+func (g *groupRetire) Run(out output) error {
+	return g.command(out, outage.Command{Kind: outage.Retire, Name: g.Name})
+}
+
+type groupStatus struct{ members }
+
+// Run prints how the group stands.
+func (g *groupStatus) Run(out output) error {
+	r, err := g.ask(council.Call{Status: true})
+	if err != nil {
+		return err
+	}
+	if !g.JSON && r.Status != nil {
+		printGroup(out.std, r.Status)
+	}
+	return g.tell(out, r)
+}
+
+// planFile is a plan as staff write it.
+type planFile struct {
+	Name     string        `toml:"name"`
+	Out      int           `toml:"out"`
+	ZoneOut  int           `toml:"zone_out"`
+	KindOut  int           `toml:"kind_out"`
+	Capacity float64       `toml:"capacity"`
+	Leave    time.Duration `toml:"leave"`
+	Work     time.Duration `toml:"work"`
+	Back     time.Duration `toml:"back"`
+	Overdue  string        `toml:"overdue"`
+	Machines []struct {
+		Name    string   `toml:"name"`
+		Runners []string `toml:"runners"`
+	} `toml:"machine"`
+}
+
+// load reads a plan; the error names every fault that the file alone shows.
+func loadPlan(path string) (*outage.Plan, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("reading the plan: %w", err)
+	}
+	f := planFile{Out: 1, Overdue: outage.Wait}
+	d := tomlfile.Read(path, raw, &f)
+	if len(d.Faults()) > 0 {
+		return nil, d.Err()
+	}
+	p := &outage.Plan{
+		Name: f.Name, Out: f.Out, ZoneOut: f.ZoneOut, KindOut: f.KindOut, Capacity: f.Capacity, Leave: f.Leave, Work: f.Work,
+		Back: f.Back, Overdue: f.Overdue,
+	}
+	for _, m := range f.Machines {
+		p.Machines = append(p.Machines, outage.Machine{Name: m.Name, Runners: m.Runners})
+	}
+	for _, fault := range outage.New().Faults(p) {
+		key, what, _ := strings.Cut(fault, ": ")
+		d.Fault(key, "%s", what)
+	}
+	return p, d.Err()
+}
+
+type outageCheck struct {
+	members
+	File string `arg:"" help:"The plan, a TOML file."`
+}
+
+// Run checks a plan against the fleet.
+func (o *outageCheck) Run(out output) error {
+	p, err := loadPlan(o.File)
+	if err != nil {
+		return err
+	}
+	return o.do(out, council.Call{Command: &outage.Command{Kind: outage.HandIn, Plan: p}, Check: true})
+}
+
+type outagePlan struct {
+	members
+	File string `arg:"" help:"The plan, a TOML file."`
+}
+
+// Run hands a plan in.
+func (o *outagePlan) Run(out output) error {
+	p, err := loadPlan(o.File)
+	if err != nil {
+		return err
+	}
+	return o.command(out, outage.Command{Kind: outage.HandIn, Plan: p})
+}
+
+// ofPlan is a call on a whole plan.
+type ofPlan struct {
+	members
+	Name string `arg:"" help:"The plan."`
+}
+
+type (
+	outageStart  struct{ ofPlan }
+	outagePause  struct{ ofPlan }
+	outageResume struct{ ofPlan }
+	outageAbort  struct{ ofPlan }
+)
+
+// Run lets the plan begin.
+func (o *outageStart) Run(out output) error {
+	return o.command(out, outage.Command{Kind: outage.Start, Name: o.Name})
+}
+
+// Run pauses the plan.
+func (o *outagePause) Run(out output) error {
+	return o.command(out, outage.Command{Kind: outage.Halt, Name: o.Name})
+}
+
+// Run resumes the plan.
+func (o *outageResume) Run(out output) error {
+	return o.command(out, outage.Command{Kind: outage.Resume, Name: o.Name})
+}
+
+// Run aborts the plan.
+func (o *outageAbort) Run(out output) error {
+	return o.command(out, outage.Command{Kind: outage.Abort, Name: o.Name})
+}
+
+// ofMachine is a call on one machine.
+type ofMachine struct {
+	members
+	Machine string `arg:"" help:"The machine."`
+	Plan    string `help:"The plan, where several have a machine of this name." placeholder:"NAME"`
+}
+
+type outageWait struct {
+	ofMachine
+	For time.Duration `help:"Give up after this; 0: never." default:"0s" placeholder:"TIME"`
+}
+
+// Run waits until the machine is clear.
+func (o *outageWait) Run(out output) error {
+	var end time.Time
+	if o.For > 0 {
+		end = time.Now().Add(o.For)
+	}
+	for {
+		r, err := o.ask(council.Call{Command: &outage.Command{Kind: outage.Take, Name: o.Plan, Machine: o.Machine}})
+		if err == nil && r.Code != outage.NotNow {
+			return o.tell(out, r)
+		}
+		if !end.IsZero() && time.Now().After(end) {
+			if err != nil {
+				return err
+			}
+			return o.tell(out, r)
+		}
+		time.Sleep(waitEvery)
+	}
+}
+
+type (
+	outageDone struct{ ofMachine }
+	outageSkip struct{ ofMachine }
+)
+
+// Run gives a machine back.
+func (o *outageDone) Run(out output) error {
+	return o.command(out, outage.Command{Kind: outage.Return, Name: o.Plan, Machine: o.Machine})
+}
+
+// Run leaves a machine out.
+func (o *outageSkip) Run(out output) error {
+	return o.command(out, outage.Command{Kind: outage.GiveUp, Name: o.Plan, Machine: o.Machine})
+}
+
+type outageStatus struct {
+	members
+	Watch bool `help:"Print it again every second."`
+}
+
+// Run prints how plans stand.
+func (o *outageStatus) Run(out output) error {
+	for {
+		r, err := o.ask(council.Call{Status: true})
+		if err == nil {
+			if !o.JSON && r.Status != nil {
+				printPlans(out.std, r.Status)
+			}
+			err = o.tell(out, r)
+		}
+		if !o.Watch {
+			return err
+		}
+		if err != nil {
+			fmt.Fprintln(out.err, "birchfork:", err)
+		}
+		time.Sleep(watchEvery)
+	}
+}
+
+func printGroup(w io.Writer, s *council.Status) {
+	fmt.Fprintf(w, "told by %s; leader %s, term %d, entry %d\n", s.Told, orNone(s.Leader), s.Term, s.Index)
+	fmt.Fprintf(w, "lease %v, attempts run for %v at the longest, a silent member is waited for %v\n",
+		s.Bounds.Lease, s.Bounds.Attempt, s.Bounds.Settled)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "MEMBER\tLIFE\tVOTES\tHEARD\tIN FORCE")
+	for _, m := range s.Members {
+		heard := "not by this leader"
+		if m.Heard >= 0 {
+			heard = m.Heard.Round(time.Millisecond).String() + " ago"
+		}
+		fmt.Fprintf(t, "%s\t%s\t%t\t%s\t%d\n", m.Name, m.Life, m.Votes, heard, m.Applied)
+	}
+	t.Flush()
+}
+
+func orNone(s string) string {
+	if s == "" {
+		return "none"
+	}
+	return s
+}
+
+func printPlans(w io.Writer, s *council.Status) {
+	if len(s.Plans) == 0 {
+		fmt.Fprintln(w, "no plan was handed in")
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, p := range s.Plans {
+		fmt.Fprintf(t, "%s\t%s\t\t%s\n", p.Name, p.Phase, p.Why)
+		for _, m := range p.Machines {
+			step := string(m.Step)
+			if m.Overdue {
+				step += ", overdue"
+			}
+			fmt.Fprintf(t, "  %s\t%s\t%v\t%s\n", m.Name, step, m.For.Round(100*time.Millisecond), m.Why)
+		}
+	}
+	t.Flush()
+}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -52,6 +52,7 @@
 	c.platform(&plan.Settings)
 	c.total(&plan.Limits)
 	c.alone()
+	plan.Group = c.group()
 	if len(f.Routes) > mostRoutes {
 		c.fault("route", "%d are more than %d", len(f.Routes), mostRoutes)
 		return plan
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -63,10 +63,11 @@
 		FallMultiple float64       `toml:"fall_multiple"`
 		ColdFrom     float64       `toml:"cold_from"`
 	} `toml:"platform"`
-	Default Figures  `toml:"default"`
-	Classes []class  `toml:"class"`
-	Tenants []tenant `toml:"tenant"`
-	Routes  []route  `toml:"route"`
+	Group   groupPart `toml:"group"`
+	Default Figures   `toml:"default"`
+	Classes []class   `toml:"class"`
+	Tenants []tenant  `toml:"tenant"`
+	Routes  []route   `toml:"route"`
 }
 
 type class struct {
@@ -92,6 +93,7 @@
 
 // Platform is what the platform's configuration says, as far as the operator's file has to agree with it.
 type Platform struct {
+	Name     string // of this dispatcher
 	Settings rules.Settings
 	Classes  []string // their names, by their number
 	Tenants  []string
@@ -106,6 +108,7 @@
 	Limits   limits.Config
 	Settings rules.Settings // the platform's, narrowed
 	Lines    []Line         // what is in force, for people
+	Group    *Group         // nil: it is in none
 }
 
 // Line is one figure in force.
--- /dev/null
+++ b/internal/council/council.go
@@ -0,0 +1,496 @@
+// Package council is one member's part in a group of dispatchers: it joins, renews the lease, puts what is settled in force
+// at its own dispatcher, and while it leads, has the plans go on. What is decided stands in internal/outage, agreement in
+// internal/agree; here they meet the links and the dispatcher.
+package council
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/big"
+	randv2 "math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"birchfork/internal/agree"
+	"birchfork/internal/config"
+	"birchfork/internal/group"
+	"birchfork/internal/outage"
+	"birchfork/internal/store"
+)
+
+// Times of a member.
+const (
+	voiceEvery = 100 * time.Millisecond // between tries to get the voice, and looks whether to give it up
+	joinEvery  = 300 * time.Millisecond
+	leadEvery  = 100 * time.Millisecond
+	renewPart  = 6                // tries in the time of a lease
+	idleEvery  = 2 * time.Second  // between words to the leader where nothing needs a lease
+	askWait    = time.Second      // for the leader's answer
+	settleWait = 2 * time.Second  // for a call of staff to be settled
+	goneCounts = 15 * time.Minute // a runner that has left the list counts as away for so long
+	driftPart  = 100              // monotonic clocks differ by one part in so many at the most
+)
+
+// Dispatcher is what a council needs of the dispatcher: store.Store has it.
+type Dispatcher interface {
+	Guard(store.Guard)
+	Lease(until time.Time)
+	Blind(bool)
+	Busy() []string
+	Fleet(gone, cold time.Duration) []store.Seen
+}
+
+// Options is all that a Council is made of.
+type Options struct {
+	Group      *config.Group
+	Self       string
+	Dispatcher Dispatcher
+	Beside     func() (alive int, newer bool) // other processes of this dispatcher, and whether one came after us
+	Attempt    time.Duration                  // the longest that an attempt may run
+	Warm       time.Duration                  // until a started runner is warm
+	Log        logrus.FieldLogger
+}
+
+// bound is the longest that something of ours may run at a machine after an entry that we do not know of.
+func (o *Options) bound() time.Duration {
+	return o.Group.Lease + o.Group.Lease/driftPart + o.Attempt
+}
+
+// Council is one member's part, until Close.
+type Council struct {
+	o       Options
+	quit    context.CancelFunc
+	done    chan struct{}
+	closing atomic.Bool
+
+	mu      sync.Mutex
+	state   *outage.State
+	at      time.Time     // since when the state has its Seq
+	changed chan struct{} // closed when something more is in force
+	words   map[string]heard
+	heardOf map[uint64]string // raft ids by the messages that came
+	voice   *voice            // nil: another process of this dispatcher has it, or we are not in yet
+}
+
+// heard is what a member told last.
+type heard struct {
+	report
+	at time.Time
+}
+
+// voice is this process's place in the group.
+type voice struct {
+	links *group.Links
+	who   agree.Identity
+	agree *agree.Agree // nil: outside of the group
+	began time.Time
+
+	founding chan struct{} // staff's word to begin the group here
+	strange  chan struct{} // the group does not know this life: another is to be begun
+}
+
+// report is a member's word to the leader.
+type report struct {
+	Name string `json:"name"`
+	outage.Word
+	Bound time.Duration `json:"bound"`
+	Warm  time.Duration `json:"warm"`
+	Plans bool          `json:"plans"`
+	Down  []string      `json:"down,omitempty"`
+	Cold  []string      `json:"cold,omitempty"`
+	Hand  []string      `json:"hand,omitempty"`
+}
+
+// grant is the leader's answer: what the member has to have in force for its lease to count.
+type grant struct {
+	Index uint64 `json:"index"`
+}
+
+type joining struct {
+	Name string `json:"name"`
+	Life string `json:"life"`
+	ID   uint64 `json:"id"`
+}
+
+type joined struct {
+	Founded string `json:"founded"`
+}
+
+// Start takes part. It returns at once: until the group is heard of, the dispatcher is blind where plans are in use.
+func Start(o Options) *Council {
+	ctx, quit := context.WithCancel(context.Background())
+	c := &Council{o: o, quit: quit, done: make(chan struct{}), state: outage.New(), at: time.Now(), changed: make(chan struct{}), words: map[string]heard{},
+		heardOf: map[uint64]string{}}
+	o.Dispatcher.Blind(o.Group.Plans)
+	go c.run(ctx)
+	return c
+}
+
+// run gets the voice, uses it until another process of this dispatcher is to have it, and begins anew.
+func (c *Council) run(ctx context.Context) {
+	defer close(c.done)
+	said := ""
+	for ctx.Err() == nil {
+		if err := c.speak(ctx); err != nil && err.Error() != said && ctx.Err() == nil {
+			said = err.Error()
+			c.o.Log.WithError(err).Warn("this process has no place in the group yet; it is tried again")
+		}
+		pause(ctx, voiceEvery)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// speak takes the voice and gives it back when it returns.
+func (c *Council) speak(ctx context.Context) error {
+	if _, newer := c.o.Beside(); newer {
+		return nil
+	}
+	self, ok := c.self()
+	if !ok {
+		return fmt.Errorf("%q is no member by our file", c.o.Self)
+	}
+	on, err := net.Listen("tcp", self.Link) // one process at a time can
+	if err != nil {
+		return fmt.Errorf("group.member: %w", err)
+	}
+	disk, err := c.openDisk()
+	if err != nil {
+		on.Close()
+		return err
+	}
+	ctx, quit := context.WithCancel(ctx)
+	defer quit()
+	v := &voice{who: disk.Who(), began: time.Now(), founding: make(chan struct{}), strange: make(chan struct{}, 1)}
+	v.links = group.Open(group.Options{
+		Group: c.o.Group.Name, Self: c.o.Self, Peers: c.o.Group.Peers, Who: c.who, Old: c.old, Lost: c.lost, Log: c.o.Log,
+	})
+	c.handle(v.links)
+	c.mu.Lock()
+	c.voice = v
+	c.mu.Unlock()
+	v.links.Serve(on)
+	c.o.Log.WithFields(logrus.Fields{"link": self.Link, "life": v.who.Life, "founded": v.who.Founded, "kept": disk.Kept()}).
+		Info("this process speaks for its dispatcher in the group")
+	var loops sync.WaitGroup
+	if v.who.Founded != "" {
+		c.begin(v, disk)
+	} else {
+		loops.Go(func() { c.enter(ctx, v, disk) })
+	}
+	loops.Go(func() { c.renew(ctx) })
+	loops.Go(func() { c.lead(ctx) })
+	forget := false
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-time.After(voiceEvery):
+		case <-v.strange:
+			c.o.Log.Warn("the group does not know this life of ours: another is begun, and what this one kept is forgotten")
+			forget = true
+			quit()
+		}
+		if _, newer := c.o.Beside(); newer && ctx.Err() == nil {
+			c.o.Log.Info("a newer process of this dispatcher speaks in the group from here on")
+			quit()
+		}
+	}
+	if !c.closing.Load() {
+		c.handOver()
+	}
+	quit()
+	v.links.Close()
+	loops.Wait()
+	c.mu.Lock()
+	c.voice = nil
+	c.mu.Unlock()
+	if v.agree != nil {
+		err = v.agree.Close()
+	} else {
+		err = disk.Close()
+	}
+	if forget {
+		c.o.Dispatcher.Blind(c.o.Group.Plans)
+		err = errors.Join(err, disk.Forget())
+	}
+	return err
+}
+
+// openDisk opens our folder, or begins one with a new life.
+func (c *Council) openDisk() (*agree.Disk, error) {
+	id, err := rand.Int(rand.Reader, new(big.Int).SetUint64(1<<62))
+	if err != nil {
+		return nil, err
+	}
+	return agree.OpenDisk(c.o.Group.Folder, agree.Identity{
+		Group: c.o.Group.Name, Name: c.o.Self, Life: rand.Text()[:10], ID: id.Uint64() + 1,
+	})
+}
+
+// begin takes part in the agreement by what the disk has.
+func (c *Council) begin(v *voice, disk *agree.Disk) {
+	a, err := agree.Start(agree.Options{Disk: disk, Machine: c, Send: c.send, Log: c.o.Log})
+	if err != nil {
+		c.o.Log.WithError(err).Error("this member takes no part in the group's agreement; it serves on")
+		return
+	}
+	c.mu.Lock()
+	v.agree, v.who = a, disk.Who()
+	c.mu.Unlock()
+	if disk.Kept() && !disk.Empty() {
+		// What this disk has confirmed is in force: no plan has begun without that.
+		c.o.Dispatcher.Blind(false)
+	}
+}
+
+// enter asks the others to be taken in, until it is.
+func (c *Council) enter(ctx context.Context, v *voice, disk *agree.Disk) {
+	ask, err := json.Marshal(joining{Name: c.o.Self, Life: v.who.Life, ID: v.who.ID})
+	if err != nil {
+		return
+	}
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-v.founding:
+			if err := c.foundHere(v, disk); err != nil {
+				c.o.Log.WithError(err).Error("the group cannot be founded here")
+				continue
+			}
+			return
+		case <-time.After(joinEvery):
+		}
+		outside := 0
+		for _, i := range randv2.Perm(len(c.o.Group.Peers)) {
+			p := c.o.Group.Peers[i]
+			if p.Name == c.o.Self {
+				continue
+			}
+			raw, err := c.ask(ctx, v, p.Name, pathJoin, ask)
+			var no *group.Refused
+			if errors.As(err, &no) && no.Text == outsideText {
+				outside++
+			}
+			var is joined
+			if err != nil || json.Unmarshal(raw, &is) != nil || is.Founded == "" {
+				continue
+			}
+			if err := disk.Belong(is.Founded); err != nil {
+				c.o.Log.WithError(err).Error("the group's folder cannot be written")
+				continue
+			}
+			c.begin(v, disk)
+			c.o.Log.WithField("founded", is.Founded).Info("this member was taken into the group")
+			return
+		}
+		// Where all the others are in no group either there is no plan that we could have missed.
+		if outside == len(c.o.Group.Peers)-1 {
+			c.o.Dispatcher.Blind(false)
+		}
+	}
+}
+
+func (c *Council) ask(ctx context.Context, v *voice, to, path string, body []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, askWait)
+	defer cancel()
+	return v.links.Ask(ctx, to, path, body)
+}
+
+func (c *Council) self() (group.Peer, bool) {
+	for _, p := range c.o.Group.Peers {
+		if p.Name == c.o.Self {
+			return p, true
+		}
+	}
+	return group.Peer{}, false
+}
+
+// who says whose our messages are.
+func (c *Council) who() group.Sender {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := group.Sender{Name: c.o.Self}
+	if c.voice != nil {
+		s.Life, s.Founded = c.voice.who.Life, c.voice.who.Founded
+	}
+	return s
+}
+
+// old tells whether a member has begun another life since one.
+func (c *Council) old(name, life string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := c.state.Members[name]
+	return m != nil && m.Was(life)
+}
+
+// lost says that a message to a member did not arrive.
+func (c *Council) lost(name string) {
+	c.mu.Lock()
+	m, v := c.state.Members[name], c.voice
+	c.mu.Unlock()
+	if a := c.agreement(); a != nil && m != nil && v != nil {
+		a.Unreachable(m.ID)
+	}
+}
+
+// agreement is our part in it; nil where we have none.
+func (c *Council) agreement() *agree.Agree {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.voice == nil {
+		return nil
+	}
+	return c.voice.agree
+}
+
+// name is the member of a raft id; empty where none has it.
+func (c *Council) name(id uint64) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range c.state.Members {
+		if m.ID == id {
+			return m.Name
+		}
+	}
+	return c.heardOf[id] // we may be too new to have the state
+}
+
+// handOver gives the lead to another voter, if we have it.
+func (c *Council) handOver() {
+	a := c.agreement()
+	if a == nil || !a.Status().Leads {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), askWait)
+	defer cancel()
+	caught := a.Caught(ctx)
+	c.mu.Lock()
+	to := uint64(0)
+	for _, m := range c.state.Members {
+		for _, id := range caught {
+			if m.ID == id && m.Voter && m.Name != c.o.Self {
+				to = id
+			}
+		}
+	}
+	c.mu.Unlock()
+	if to == 0 {
+		return
+	}
+	a.HandOver(ctx, to)
+	for ctx.Err() == nil && a.Status().Leads {
+		pause(ctx, 5*time.Millisecond)
+	}
+}
+
+// Leave gives the lead away, within a second: this process stops soon.
+func (c *Council) Leave() { c.handOver() }
+
+// Close ends this member's part, soon.
+func (c *Council) Close() {
+	c.closing.Store(true)
+	c.quit()
+	<-c.done
+}
+
+// Apply puts a settled entry in force; agree calls it.
+func (c *Council) Apply(index uint64, data []byte) {
+	c.mu.Lock()
+	was := c.state.Seq
+	events := c.state.Apply(index, data)
+	if c.state.Seq != was {
+		c.at = time.Now()
+	}
+	guard := store.Guard{Away: c.state.Away(), Leased: c.state.Leased()}
+	c.mu.Unlock()
+	if len(events) > 0 {
+		c.o.Dispatcher.Guard(guard)
+	}
+	for _, e := range events {
+		log := c.o.Log.WithField("index", index)
+		if e.Plan != "" {
+			log = log.WithField("plan", e.Plan)
+		}
+		if e.Machine != "" {
+			log = log.WithField("machine", e.Machine)
+		}
+		log.WithField("what", e.What).Info("settled")
+	}
+	c.wake()
+}
+
+func (c *Council) wake() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// Snapshot is the settled state; agree calls it.
+func (c *Council) Snapshot() ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.Encode()
+}
+
+// Restore takes a settled state over; agree calls it.
+func (c *Council) Restore(data []byte) error {
+	s, err := outage.Decode(data)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	c.state, c.at = s, time.Now()
+	guard := store.Guard{Away: s.Away(), Leased: s.Leased()}
+	c.mu.Unlock()
+	c.o.Dispatcher.Guard(guard)
+	c.wake()
+	return nil
+}
+
+// send carries one of raft's messages.
+func (c *Council) send(to uint64, raw []byte, _ bool) {
+	name := c.name(to)
+	c.mu.Lock()
+	v := c.voice
+	c.mu.Unlock()
+	if v != nil && name != "" {
+		v.links.Post(name, pathRaft, raw)
+	}
+}
+
+// inForce waits until all up to an index is in force here.
+func (c *Council) inForce(ctx context.Context, index uint64) error {
+	for {
+		c.mu.Lock()
+		changed := c.changed
+		c.mu.Unlock()
+		a := c.agreement()
+		if a == nil {
+			return errOutside
+		}
+		if a.Status().Applied >= index {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-time.After(10 * time.Millisecond): // entries of raft's own change no state
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/internal/council/staff.go
@@ -0,0 +1,326 @@
+package council
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"birchfork/internal/agree"
+	"birchfork/internal/group"
+	"birchfork/internal/outage"
+)
+
+// Call is what staff ask for. A Command's ID makes it act once however often it comes.
+type Call struct {
+	Command *outage.Command `json:"command,omitempty"`
+	Check   bool            `json:"check,omitempty"`  // only look whether a plan could be handed in
+	Found   bool            `json:"found,omitempty"`  // begin the group here
+	Status  bool            `json:"status,omitempty"` // tell how things stand
+}
+
+// Reply is the answer to a Call.
+type Reply struct {
+	Code   int     `json:"code"` // as outage.Answer's
+	Text   string  `json:"text"`
+	Status *Status `json:"status,omitempty"`
+}
+
+// Status is how things stand.
+type Status struct {
+	Told    string         `json:"told"`    // by which member
+	Settled bool           `json:"settled"` // a quorum has confirmed it; else it is what this member knew last
+	Leader  string         `json:"leader"`
+	Term    uint64         `json:"term"`
+	Index   uint64         `json:"index"`
+	Failed  string         `json:"failed,omitempty"` // why this member takes no part
+	Bounds  Bounds         `json:"bounds"`
+	Members []MemberStatus `json:"members"`
+	Plans   []PlanStatus   `json:"plans"`
+}
+
+// Bounds are the times that a machine's clear rests on.
+type Bounds struct {
+	Lease   time.Duration `json:"lease"`   // this member's
+	Attempt time.Duration `json:"attempt"` // the longest that one may run
+	Settled time.Duration `json:"settled"` // how long the group waits for a silent member
+}
+
+// MemberStatus is one member.
+type MemberStatus struct {
+	Name    string        `json:"name"`
+	Life    string        `json:"life"`
+	Votes   bool          `json:"votes"`
+	Heard   time.Duration `json:"heard"` // ago, by the leader; below 0: never
+	Applied uint64        `json:"applied"`
+	Alone   bool          `json:"alone"`
+}
+
+// PlanStatus is one plan.
+type PlanStatus struct {
+	Name     string          `json:"name"`
+	Phase    outage.Phase    `json:"phase"`
+	Why      string          `json:"why,omitempty"` // what all of it waits for
+	Machines []MachineStatus `json:"machines"`
+}
+
+// MachineStatus is one machine.
+type MachineStatus struct {
+	Name    string        `json:"name"`
+	Step    outage.Step   `json:"step"`
+	For     time.Duration `json:"for"` // on the group's clock, up to the last entry
+	Overdue bool          `json:"overdue,omitempty"`
+	Why     string        `json:"why,omitempty"` // what it waits for
+}
+
+// NotSettled begins an answer where no leader could settle the call in time.
+const NotSettled = "not settled yet, ask again"
+
+// onStaff takes a call of staff at any member.
+func (c *Council) onStaff(ctx context.Context, _ group.Sender, body []byte) ([]byte, error) {
+	var call Call
+	if err := json.Unmarshal(body, &call); err != nil {
+		return json.Marshal(Reply{Code: outage.Wrong, Text: "no call: " + err.Error()})
+	}
+	if call.Found {
+		return json.Marshal(c.found(ctx))
+	}
+	ctx, cancel := context.WithTimeout(ctx, settleWait)
+	defer cancel()
+	out, err := c.askLeader(ctx, pathCall, body)
+	if err == nil {
+		return out, nil
+	}
+	r := Reply{Code: outage.NotNow, Text: fmt.Sprintf("%s (%v)", NotSettled, err)}
+	if call.Status {
+		c.mu.Lock()
+		r.Status = c.status(false)
+		c.mu.Unlock()
+	}
+	return json.Marshal(r)
+}
+
+// onCall takes a call at the leader.
+func (c *Council) onCall(ctx context.Context, _ group.Sender, body []byte) ([]byte, error) {
+	var call Call
+	if err := json.Unmarshal(body, &call); err != nil {
+		return nil, &group.Refused{Text: "no call: " + err.Error()}
+	}
+	ctx, cancel := context.WithTimeout(ctx, settleWait)
+	defer cancel()
+	a := c.agreement()
+	index, err := a.Read(ctx)
+	if err == nil {
+		err = c.inForce(ctx, index)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if call.Status {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return json.Marshal(Reply{Status: c.status(true)})
+	}
+	if call.Command == nil {
+		return nil, &group.Refused{Text: "a call for nothing"}
+	}
+	c.mu.Lock()
+	reply := c.before(&call)
+	c.mu.Unlock()
+	if reply != nil {
+		return json.Marshal(reply)
+	}
+	return c.settle(ctx, a, call.Command)
+}
+
+// before answers what needs no entry; nil: it needs one. The lock is held.
+func (c *Council) before(call *Call) *Reply {
+	cmd := call.Command
+	if cmd.ID == "" {
+		return &Reply{Code: outage.Wrong, Text: "a call without an id"}
+	}
+	if was, ok := c.state.Answer(cmd.ID); ok {
+		return &Reply{Code: was.Code, Text: was.Text}
+	}
+	switch cmd.Kind {
+	case outage.Join, outage.Proceed:
+		return &Reply{Code: outage.Wrong, Text: "no call of staff"}
+	case outage.HandIn:
+		if cmd.Plan == nil {
+			return &Reply{Code: outage.Wrong, Text: "there is no plan in the call"}
+		}
+		faults := append(c.state.Faults(cmd.Plan), c.unfit(cmd.Plan)...)
+		if len(faults) > 0 {
+			return &Reply{Code: outage.Wrong, Text: strings.Join(faults, "\n")}
+		}
+		if call.Check {
+			return &Reply{Text: "good"}
+		}
+	case outage.Start:
+		if text := c.absent(); text != "" {
+			return &Reply{Code: outage.NotNow, Text: text}
+		}
+	case outage.Take:
+		if u, p := c.state.Find(cmd.Name, cmd.Machine); p != nil && (p.Step == outage.Waiting || p.Step == outage.Leaving) {
+			why := c.state.Why(u, c.advance())
+			return &Reply{Code: outage.NotNow, Text: strings.TrimSuffix(fmt.Sprintf("%s is %s: %s", p.Name, p.Step, why[p.Name]), ": ")}
+		}
+	}
+	return nil
+}
+
+// unfit is what of a plan does not fit the fleet as it is, by key. The lock is held.
+func (c *Council) unfit(p *outage.Plan) (out []string) {
+	fleet := c.advance().Fleet
+	for i, m := range p.Machines {
+		for _, r := range m.Runners {
+			if _, ok := fleet[r]; !ok {
+				out = append(out, fmt.Sprintf("machine[%d].runners: %q is not on the list", i, r))
+			}
+		}
+	}
+	return out
+}
+
+// absent says why no plan may start: each member by our file has to be in, and in use of plans, as one that knows of no group
+// sends where it likes. The lock is held.
+func (c *Council) absent() string {
+	var out, without []string
+	for _, p := range c.o.Group.Peers {
+		if c.state.Members[p.Name] == nil {
+			out = append(out, p.Name)
+		} else if h, ok := c.words[p.Name]; ok && !h.Plans {
+			without = append(without, p.Name)
+		}
+	}
+	switch {
+	case len(out) > 0:
+		return "not in the group yet: " + strings.Join(out, ", ")
+	case len(without) > 0 || !c.o.Group.Plans:
+		return "without plans = true in [group]: " + strings.Join(without, ", ")
+	}
+	return ""
+}
+
+// settle proposes a command and waits for its answer.
+func (c *Council) settle(ctx context.Context, a *agree.Agree, cmd *outage.Command) ([]byte, error) {
+	raw, err := json.Marshal(cmd)
+	if err != nil {
+		return nil, err
+	}
+	if err := a.Propose(ctx, raw); err != nil {
+		return nil, err
+	}
+	var was outage.Answer
+	err = c.until(ctx, func(s *outage.State) (ok bool) {
+		was, ok = s.Answer(cmd.ID)
+		return ok
+	})
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(Reply{Code: was.Code, Text: was.Text})
+}
+
+// status is how things stand. The lock is held.
+func (c *Council) status(settled bool) *Status {
+	s := &Status{Told: c.o.Self, Settled: settled, Index: c.state.Index, Bounds: Bounds{c.o.Group.Lease, c.o.Attempt, c.state.Bound}}
+	var voters []uint64
+	if c.voice != nil && c.voice.agree != nil {
+		a := c.voice.agree.Status()
+		s.Term, s.Failed, voters = a.Term, a.Failed, a.Voters
+		for _, m := range c.state.Members {
+			if m.ID == a.Leader {
+				s.Leader = m.Name
+			}
+		}
+	}
+	for _, name := range c.state.Names() {
+		m := c.state.Members[name]
+		is := MemberStatus{Name: name, Life: m.Life, Votes: slices.Contains(voters, m.ID), Heard: -1}
+		if h, ok := c.words[name]; ok {
+			is.Heard, is.Applied, is.Alone = time.Since(h.at), h.Applied, h.Alone
+		}
+		s.Members = append(s.Members, is)
+	}
+	adv := c.advance()
+	for _, u := range c.state.Plans {
+		why := map[string]string{}
+		if settled {
+			why = c.state.Why(u, adv)
+		}
+		p := PlanStatus{Name: u.Name, Phase: u.Phase, Why: why[""]}
+		for _, m := range u.Places {
+			p.Machines = append(p.Machines, MachineStatus{m.Name, m.Step, c.state.Clock - m.Since, m.Overdue, why[m.Name]})
+		}
+		s.Plans = append(s.Plans, p)
+	}
+	return s
+}
+
+// found begins the group at this member. The others join it.
+func (c *Council) found(ctx context.Context) Reply {
+	c.mu.Lock()
+	v := c.voice
+	c.mu.Unlock()
+	if v == nil {
+		return Reply{Code: outage.NotNow, Text: "this process does not speak for its dispatcher in the group"}
+	}
+	if f := c.who().Founded; f != "" {
+		return Reply{Text: "this member is in the group already, founded as " + f}
+	}
+	ask, err := json.Marshal(joining{Name: c.o.Self})
+	if err != nil {
+		return Reply{Code: outage.Wrong, Text: err.Error()}
+	}
+	silent := map[string]error{}
+	for _, p := range c.o.Group.Peers {
+		if p.Name == c.o.Self {
+			continue
+		}
+		if _, err := c.ask(ctx, v, p.Name, pathJoin, ask); !isOutside(err) {
+			silent[p.Name] = err
+		}
+	}
+	if len(silent) > 0 { // one of them may be in the group
+		name := slices.Min(slices.Collect(maps.Keys(silent)))
+		return Reply{Code: outage.NotNow, Text: fmt.Sprintf("each member has to say that it is in no group yet; %s: %v", name, silent[name])}
+	}
+	select {
+	case v.founding <- struct{}{}:
+	case <-ctx.Done():
+		return Reply{Code: outage.NotNow, Text: NotSettled}
+	}
+	for ctx.Err() == nil && c.agreement() == nil {
+		pause(ctx, 5*time.Millisecond)
+	}
+	if c.agreement() == nil {
+		return Reply{Code: outage.NotNow, Text: NotSettled}
+	}
+	return Reply{Text: "founded"}
+}
+
+// foundHere begins the group on our disk.
+func (c *Council) foundHere(v *voice, disk *agree.Disk) error {
+	if !disk.Empty() {
+		return errors.New("the group's folder is not empty")
+	}
+	self, _ := c.self()
+	s := outage.New()
+	s.Index = 1
+	s.Members[c.o.Self] = &outage.Member{Name: c.o.Self, Life: v.who.Life, ID: v.who.ID, Voter: self.Voter}
+	raw, err := s.Encode()
+	if err != nil {
+		return err
+	}
+	if err := agree.Found(disk, rand.Text()[:10], raw); err != nil {
+		return err
+	}
+	c.begin(v, disk)
+	return nil
+}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -66,6 +66,7 @@
 type Others struct {
 	Alive   int
 	Serving bool // one of them serves
+	Newer   bool // one of them came after this one
 }
 
 // Process is one process of a dispatcher. Its zero value shares nothing: what it is told it keeps to itself.
@@ -177,10 +178,18 @@
 		}
 		o.Alive++
 		o.Serving = o.Serving || state == serving
+		o.Newer = o.Newer || claimed(e.Name()) > p.number
 	}
 	return o
 }
 
+// claimed is the number of a claim by its file's name; 0 where it has none.
+func claimed(file string) int64 {
+	number, _, _ := strings.Cut(strings.TrimPrefix(file, claimPrefix), "-")
+	n, _ := strconv.ParseInt(number, 10, 64)
+	return n
+}
+
 // look tells whether the process of a claim is alive, and what it does.
 func look(path string) (state string, alive bool) {
 	f, err := os.Open(path)
--- a/internal/lab/fleet/discovery.go
+++ b/internal/lab/fleet/discovery.go
@@ -95,6 +95,7 @@
 	factor  float64   // times the usual lag
 	lastDue time.Time // changes arrive in order
 	silent  bool
+	due     []entry // what is on its way
 	waiting []entry // what came while we were silent
 	index   uint64
 	view    map[string]entry
@@ -208,9 +209,12 @@
 		due = a.lastDue.Add(time.Microsecond)
 	}
 	a.lastDue = due
+	a.due = append(a.due, e)
 	a.timers = append(a.timers, time.AfterFunc(time.Until(due), func() {
 		a.mu.Lock()
 		defer a.mu.Unlock()
+		e := a.due[0] // not its own: timers a moment apart may fire in any order
+		a.due = a.due[1:]
 		switch {
 		case a.closed:
 		case a.silent:
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -135,6 +135,15 @@
 	})
 }
 
+// Down ends a worker's process, until Up.
+func (f *Fleet) Down(i int) {
+	f.Workers[i].Kill()
+	f.publish(i, StatusRemoved, false, false)
+}
+
+// Up starts a worker again, cold.
+func (f *Fleet) Up(i int) { f.restart(i) }
+
 func (f *Fleet) restart(i int) {
 	if f.Workers[i].Start(false) != nil {
 		return // no port is left: it stays away, as the list says
--- /dev/null
+++ b/internal/lab/groups/groups.go
@@ -0,0 +1,455 @@
+package groups
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"birchfork/internal/council"
+	"birchfork/internal/lab"
+	"birchfork/internal/lab/report"
+	"birchfork/internal/lab/scenario"
+	"birchfork/internal/outage"
+)
+
+// Options is what a run is made of.
+type Options struct {
+	Scenario *scenario.Scenario // its dispatchers are the members
+	Seed     uint64
+	Launch   func(config, operator string) *exec.Cmd
+	Faults   []Fault
+	Storm    int           // further faults, drawn from the seed
+	Lease    time.Duration // of the group
+	Work     time.Duration // that staff have each machine
+	Out      int           // machines away at a time
+	Machines int           // of the plan, one runner each; 0: no plan
+	Diskless bool          // members keep nothing
+}
+
+// The kinds of faults.
+const (
+	Cut    = "cut"    // nothing passes between the member and the others
+	Deaf   = "deaf"   // nothing reaches the member; what it sends arrives
+	Mute   = "mute"   // nothing that the member sends arrives
+	Reset  = "reset"  // its links are reset
+	Slow   = "slow"   // its links have 300 ms more, one way
+	Narrow = "narrow" // its links pass 2 kB a second
+	Torn   = "torn"   // its links break after 700 bytes
+	Stop   = "stop"   // its process stands still
+	Kill   = "kill"   // its process is killed, and started again with its disk
+	Wipe   = "wipe"   // ... with an empty disk
+	Term   = "term"   // its process ends in order and is started again
+)
+
+// Kinds are all kinds of faults.
+var Kinds = []string{Cut, Deaf, Mute, Reset, Slow, Narrow, Torn, Stop, Kill, Wipe, Term}
+
+// Fault is one fault of the timetable.
+type Fault struct {
+	Kind   string
+	Member int           // -1: the one that leads then
+	At     time.Duration // since the group was founded and its plan ran
+	For    time.Duration
+}
+
+func (f Fault) String() string {
+	return fmt.Sprintf("%s of member %d at %v for %v", f.Kind, f.Member, f.At, f.For)
+}
+
+// Work is one machine that staff had, as they saw it.
+type Work struct {
+	Machine string
+	Runners []int         // workers of the fleet
+	Told    time.Duration // when the answer came that it is clear
+	Back    time.Duration // right before they said done; 0: they never did
+}
+
+// Result is what a run came to.
+type Result struct {
+	Report  *report.Report
+	Works   []Work
+	Origin  time.Duration // when all were in and the plan ran: faults count from here
+	Ended   time.Duration // when the plan was seen to have ended; 0: it was not
+	Last    string        // what was last seen of the plan
+	Calls   int           // of staff
+	Unclear int           // ... that had no settled answer in time
+	Bytes   int64         // over all links
+	Faults  []Fault
+}
+
+// rig is one run.
+type rig struct {
+	o     Options
+	dir   string
+	real  []string // where each member listens for the others
+	links map[[2]int]*link
+	stage *lab.Stage
+
+	mu     sync.Mutex
+	works  []Work
+	seen   []seen
+	result *Result
+	on     []Fault // of the links
+}
+
+// seen is an answer on how things stand.
+type seen struct {
+	asked, came time.Duration
+	status      council.Status
+}
+
+// Run plays a day with a group.
+func Run(ctx context.Context, o Options) (*Result, error) {
+	g := &rig{o: o, links: map[[2]int]*link{}, result: &Result{}}
+	var err error
+	if g.dir, err = os.MkdirTemp("", "birchfork-group-"); err != nil {
+		return nil, fmt.Errorf("a folder for the members: %w", err)
+	}
+	defer os.RemoveAll(g.dir)
+	defer func() {
+		for _, k := range g.links {
+			k.close()
+		}
+	}()
+	if err := g.lay(); err != nil {
+		return nil, err
+	}
+	g.result.Faults = append(slices.Clone(o.Faults), g.draw()...)
+	rep, err := lab.Run(ctx, lab.Options{
+		Scenario: o.Scenario, Seed: o.Seed, Policy: lab.PolicyRules, Beside: g.play, Judge: g.judge,
+		Launch: func(config string) *exec.Cmd {
+			name := strings.TrimSuffix(filepath.Base(config), ".json")
+			cmd := o.Launch(config, g.operator(name))
+			if cmd.Env == nil {
+				cmd.Env = os.Environ()
+			}
+			cmd.Env = append(cmd.Env, "TMPDIR="+g.dir)
+			return cmd
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	for _, k := range g.links {
+		k.mu.Lock()
+		g.result.Bytes += k.bytes
+		k.mu.Unlock()
+	}
+	g.result.Report, g.result.Works = rep, g.works
+	return g.result, nil
+}
+
+func (g *rig) operator(name string) string { return filepath.Join(g.dir, name+".toml") }
+func (g *rig) folder(i int) string         { return filepath.Join(g.dir, fmt.Sprintf("disk-d%d", i)) }
+
+// lay lays the links and writes the members' files.
+func (g *rig) lay() error {
+	n := g.o.Scenario.Dispatchers
+	var err error
+	if g.real, err = lab.FreeAddresses(n); err != nil {
+		return err
+	}
+	for from := range n {
+		var b strings.Builder
+		fmt.Fprintf(&b, "[group]\nname = \"lab\"\nplans = true\nlease = %q\n", g.o.Lease)
+		if !g.o.Diskless {
+			fmt.Fprintf(&b, "folder = %q\n", g.folder(from))
+		}
+		for to := range n {
+			at := g.real[to]
+			if to != from {
+				k, err := newLink(g.real[to])
+				if err != nil {
+					return err
+				}
+				g.links[[2]int{from, to}] = k
+				at = k.address()
+			}
+			fmt.Fprintf(&b, "[[group.member]]\nname = \"d%d\"\nlink = %q\nvoter = %t\n", to, at, to < voters(n))
+		}
+		if err := os.WriteFile(g.operator(fmt.Sprintf("d%d", from)), []byte(b.String()), 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// voters is how many of so many members vote.
+func voters(n int) int {
+	if n >= 5 {
+		return 5
+	}
+	return 3
+}
+
+// draw draws further faults from the seed, over the middle of the day.
+func (g *rig) draw() (out []Fault) {
+	r := rand.New(rand.NewPCG(g.o.Seed, 77))
+	length := g.o.Scenario.For
+	for range g.o.Storm {
+		f := Fault{Kind: Kinds[r.IntN(len(Kinds))], Member: r.IntN(g.o.Scenario.Dispatchers+1) - 1}
+		f.At = time.Duration(r.Int64N(int64(length / 2)))
+		f.For = 50*time.Millisecond + time.Duration(r.Int64N(int64(length/5)))
+		out = append(out, f)
+	}
+	return out
+}
+
+// play has staff and faults play beside the day.
+func (g *rig) play(ctx context.Context, s *lab.Stage) {
+	g.stage = s
+	var all sync.WaitGroup
+	defer all.Wait()
+	if err := g.found(ctx); err != nil {
+		g.note("the group was not founded: " + err.Error())
+		return
+	}
+	for i := range g.real {
+		all.Go(func() { g.look(ctx, i) })
+	}
+	if g.o.Machines > 0 && !g.begin(ctx) {
+		return
+	}
+	g.result.Origin = g.stage.Ledger().Now()
+	for _, f := range g.result.Faults {
+		all.Go(func() { g.fault(ctx, f) })
+	}
+	for i := range g.o.Machines {
+		all.Go(func() { g.work(ctx, i) })
+	}
+}
+
+func (g *rig) note(last string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.result.Last = last
+}
+
+// at are the members in an order that begins with one.
+func (g *rig) at(first int) *council.Client {
+	return &council.Client{At: append(slices.Clone(g.real[first:]), g.real[:first]...)}
+}
+
+// call makes a call of staff at any member.
+func (g *rig) call(ctx context.Context, c council.Call) (*council.Reply, error) {
+	r, err := g.at(rand.IntN(len(g.real))).Ask(ctx, c)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.result.Calls++
+	if err == nil && strings.HasPrefix(r.Text, "no member has settled") {
+		g.result.Unclear++
+	}
+	return r, err
+}
+
+// found founds the group and waits until all are in.
+func (g *rig) found(ctx context.Context) error {
+	last := ""
+	for ; ctx.Err() == nil; sleep(ctx, 50*time.Millisecond) {
+		r, err := g.at(0).Ask(ctx, council.Call{Found: true})
+		if err != nil {
+			return err
+		}
+		if last = r.Text; r.Code != outage.Yes {
+			continue
+		}
+		break
+	}
+	for ; ctx.Err() == nil; sleep(ctx, 50*time.Millisecond) {
+		r, err := g.at(0).Ask(ctx, council.Call{Status: true})
+		if err != nil {
+			return err
+		}
+		votes := 0
+		if r.Status == nil {
+			continue
+		}
+		for _, m := range r.Status.Members {
+			if m.Votes && m.Heard >= 0 {
+				votes++
+			}
+		}
+		if last = fmt.Sprintf("%+v", r.Status.Members); len(r.Status.Members) == len(g.real) && votes == voters(len(g.real)) {
+			return nil
+		}
+	}
+	return errors.New(last)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// restarts is how long a runner takes to come up again.
+const restarts = 200 * time.Millisecond
+
+// machine is the name of the plan's machine of a worker.
+func machine(i int) string { return fmt.Sprintf("m%d", i) }
+
+// begin has staff hand a plan in and start it, and waits until it runs; false: it does not.
+func (g *rig) begin(ctx context.Context) bool {
+	day := g.stage.Day()
+	p := &outage.Plan{Name: "work", Out: g.o.Out, Overdue: outage.Wait}
+	for i := range g.o.Machines {
+		p.Machines = append(p.Machines, outage.Machine{Name: machine(i), Runners: []string{day.Workers[i].Name}})
+	}
+	for _, c := range []*outage.Command{{Kind: outage.HandIn, Plan: p}, {Kind: outage.Start, Name: p.Name}} {
+		if !g.surely(ctx, c) {
+			return false
+		}
+	}
+	for ; ctx.Err() == nil; sleep(ctx, 50*time.Millisecond) {
+		r, err := g.at(0).Ask(ctx, council.Call{Status: true})
+		if err == nil && r.Status != nil && len(r.Status.Plans) > 0 && r.Status.Plans[0].Phase == outage.Running {
+			return true
+		}
+	}
+	return false
+}
+
+// surely makes a call until it is answered with yes; a lost answer's call is made again under its id.
+func (g *rig) surely(ctx context.Context, c *outage.Command) bool {
+	for ; ctx.Err() == nil; sleep(ctx, 100*time.Millisecond) {
+		r, err := g.call(ctx, council.Call{Command: c})
+		if err == nil && r.Code == outage.Yes {
+			return true
+		}
+		if err == nil && !strings.HasPrefix(r.Text, "no member has settled") {
+			if c.ID = ""; r.Code == outage.Wrong {
+				g.note(fmt.Sprintf("%s: %s", c.Kind, r.Text))
+				return false
+			}
+		}
+	}
+	return false
+}
+
+// work waits for one machine, works on it, starts its runner anew and gives it back.
+func (g *rig) work(ctx context.Context, i int) {
+	l := g.stage.Ledger()
+	if !g.surely(ctx, &outage.Command{Kind: outage.Take, Machine: machine(i)}) {
+		return
+	}
+	g.mu.Lock()
+	at := len(g.works)
+	g.works = append(g.works, Work{Machine: machine(i), Runners: []int{i}, Told: l.Now()})
+	g.mu.Unlock()
+	sleep(ctx, g.o.Work) // the runner stands there, so that what is sent is seen
+	if ctx.Err() != nil {
+		return
+	}
+	g.mu.Lock()
+	g.works[at].Back = l.Now()
+	g.mu.Unlock()
+	g.stage.Fleet().Down(i)
+	sleep(ctx, restarts)
+	g.stage.Fleet().Up(i)
+	g.surely(ctx, &outage.Command{Kind: outage.Return, Machine: machine(i)})
+}
+
+// look asks a member now and then how things stand.
+func (g *rig) look(ctx context.Context, member int) {
+	l := g.stage.Ledger()
+	c := &council.Client{At: []string{g.real[member]}}
+	for ; ctx.Err() == nil; sleep(ctx, 150*time.Millisecond) {
+		asked := l.Now()
+		r, err := c.Ask(ctx, council.Call{Status: true})
+		if err != nil || r.Status == nil {
+			continue
+		}
+		g.mu.Lock()
+		g.seen = append(g.seen, seen{asked, l.Now(), *r.Status})
+		if s := r.Status; s.Settled && len(s.Plans) > 0 && g.result.Ended == 0 {
+			g.result.Last = fmt.Sprintf("%+v", s.Plans[0])
+			if s.Plans[0].Phase == outage.Ended {
+				g.result.Ended = l.Now()
+			}
+		}
+		g.mu.Unlock()
+	}
+}
+
+// leader is the member that leads by the newest settled answer; 0 where none is known.
+func (g *rig) leader() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i := len(g.seen) - 1; i >= 0; i-- {
+		var n int
+		if _, err := fmt.Sscanf(g.seen[i].status.Leader, "d%d", &n); err == nil && g.seen[i].status.Settled {
+			return n
+		}
+	}
+	return 0
+}
+
+// fault lets one fault happen.
+func (g *rig) fault(ctx context.Context, f Fault) {
+	if sleep(ctx, f.At); ctx.Err() != nil {
+		return
+	}
+	if f.Member < 0 {
+		f.Member = g.leader()
+	}
+	switch f.Kind {
+	case Stop:
+		g.stage.Stop(ctx, f.Member, f.For)
+	case Kill:
+		g.stage.Kill(ctx, f.Member, f.For, nil)
+	case Wipe:
+		g.stage.Kill(ctx, f.Member, f.For, func() { os.RemoveAll(g.folder(f.Member)) })
+	case Term:
+		g.stage.Terminate(ctx, f.Member)
+	default:
+		g.set(f, true)
+		sleep(ctx, f.For)
+		g.set(f, false)
+	}
+}
+
+// set turns a fault of links on or off and works out what is wrong with each link now.
+func (g *rig) set(f Fault, on bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if on {
+		g.on = append(g.on, f)
+	} else if i := slices.Index(g.on, f); i >= 0 {
+		g.on = slices.Delete(g.on, i, i+1)
+	}
+	for pair, k := range g.links {
+		var now fault
+		for _, f := range g.on {
+			out, in := pair[0] == f.Member, pair[1] == f.Member // whose connections these are, and whom they reach
+			if !out && !in {
+				continue
+			}
+			switch f.Kind {
+			case Cut:
+				now.there, now.back = true, true
+			case Deaf:
+				now.there, now.back = now.there || in, now.back || out
+			case Mute:
+				now.there, now.back = now.there || out, now.back || in
+			case Reset:
+				now.reset = true
+			case Slow:
+				now.delay = 300 * time.Millisecond
+			case Narrow:
+				now.rate = 2000
+			case Torn:
+				now.after = 700
+			}
+		}
+		k.set(now)
+	}
+}
--- /dev/null
+++ b/internal/lab/groups/judge.go
@@ -0,0 +1,114 @@
+package groups
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"birchfork/internal/lab"
+	"birchfork/internal/lab/judge"
+)
+
+// The rules of a group, beside the four.
+const (
+	ClearRule  = "clear"   // nothing begins or runs at a machine from its "clear" until it is put back
+	BudgetRule = "budget"  // never more machines with staff, or not warm yet, than the plan allows
+	OrderRule  = "order"   // all answers tell one history
+	GoesOnRule = "goes on" // the plan is through at the end of the day
+)
+
+// Rules are their names in their order.
+var Rules = []string{ClearRule, BudgetRule, OrderRule, GoesOnRule}
+
+// judge judges the group's rules by what workers and staff saw.
+func (g *rig) judge(s *lab.Stage) []judge.Breach {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := clearBreaches(s.Ledger().Attempts(), g.works)
+	out = append(out, budgetBreaches(g.works, g.o.Out, s.Day().Scenario.Terms.WarmWithin)...)
+	out = append(out, orderBreaches(g.seen)...)
+	if g.o.Machines > 0 && g.result.Ended == 0 {
+		out = append(out, judge.Breach{Rule: GoesOnRule, Kind: "not through", At: s.Ledger().Now(), Who: -1, Lines: []string{g.result.Last}})
+	}
+	return out
+}
+
+// clearBreaches are attempts at machines that staff had.
+func clearBreaches(attempts []*judge.Attempt, works []Work) (out []judge.Breach) {
+	for _, w := range works {
+		for _, a := range attempts {
+			if !slices.Contains(w.Runners, a.Worker) {
+				continue
+			}
+			back := w.Back
+			if back == 0 {
+				back = 1 << 62
+			}
+			kind := ""
+			switch {
+			case a.Last >= w.Told && a.Last < back:
+				kind = "begun"
+			case a.Last < w.Told && (a.End == judge.Open || a.Ended > w.Told) && a.Last > 0:
+				kind = "runs"
+			}
+			if kind != "" {
+				out = append(out, judge.Breach{Rule: ClearRule, Kind: kind, At: a.Last, Who: a.Dispatcher, ID: a.ID, Lines: []string{
+					fmt.Sprintf("%s was told to be clear at %.3fs, put back at %.3fs", w.Machine, w.Told.Seconds(), w.Back.Seconds()),
+					fmt.Sprintf("the attempt's last byte came at %.3fs, it ended (%s) at %.3fs", a.Last.Seconds(), a.End, a.Ended.Seconds()),
+				}})
+			}
+		}
+	}
+	return out
+}
+
+// budgetBreaches are moments at which staff had, or had just given back, more machines than may be away.
+func budgetBreaches(works []Work, most int, warm time.Duration) (out []judge.Breach) {
+	for _, w := range works {
+		away := 0
+		for _, o := range works {
+			if o.Told <= w.Told && (o.Back == 0 || o.Back+warm > w.Told) {
+				away++
+			}
+		}
+		if away > most {
+			out = append(out, judge.Breach{Rule: BudgetRule, Kind: "over", At: w.Told, Who: -1, Lines: []string{
+				fmt.Sprintf("%d machines away when %s was told to be clear, %d may be", away, w.Machine, most)}})
+		}
+	}
+	return out
+}
+
+// orderBreaches are answers that tell two histories: two states at one entry, or one that was settled and then was not.
+func orderBreaches(all []seen) (out []judge.Breach) {
+	at := map[uint64]string{}
+	breach := func(kind string, s seen, lines ...string) {
+		out = append(out, judge.Breach{Rule: OrderRule, Kind: kind, At: s.came, Who: -1, Lines: lines})
+	}
+	for _, s := range all {
+		steps := map[string]string{}
+		for _, p := range s.status.Plans {
+			steps[p.Name] = string(p.Phase)
+			for _, m := range p.Machines {
+				steps[p.Name+"/"+m.Name] = string(m.Step)
+			}
+		}
+		raw, _ := json.Marshal(steps) // of strings alone
+		was, ok := at[s.status.Index]
+		if ok && was != string(raw) {
+			breach("two histories", s, fmt.Sprintf("entry %d", s.status.Index), was, string(raw))
+		}
+		at[s.status.Index] = string(raw)
+	}
+	for _, s := range all {
+		for _, o := range all {
+			if s.status.Settled && o.status.Settled && o.came < s.asked && o.status.Index > s.status.Index {
+				breach("undone", s, fmt.Sprintf("entry %d was settled at %.3fs; an answer asked for at %.3fs knew %d", o.status.Index,
+					o.came.Seconds(), s.asked.Seconds(), s.status.Index))
+				return out
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/lab/groups/link.go
@@ -0,0 +1,190 @@
+// Package groups plays a group of dispatchers: processes of the program with a forwarder on each directed link between two
+// of them, staff that hand in plans and work, faults by a timetable, and a judge of what the group promised.
+package groups
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"time"
+)
+
+// link forwards connections from one member to another. Its faults hold for both directions of each connection on it or
+// for one alone; what was held is delivered when the fault ends, unless its sender has closed meanwhile.
+type link struct {
+	listener net.Listener
+	to       string
+
+	mu    sync.Mutex
+	fault fault
+	wake  chan struct{} // closed when the fault changes
+	conns map[net.Conn]bool
+	bytes int64
+	shut  bool
+}
+
+// fault is what is wrong with a link.
+type fault struct {
+	there bool          // nothing passes towards the member that is called
+	back  bool          // nothing passes towards the caller
+	reset bool          // connections are reset, and new ones too
+	delay time.Duration // of each piece
+	rate  int           // bytes a second; 0: no bound
+	after int           // connections are reset after so many bytes; 0: never
+}
+
+const pieceMost = 4 << 10
+
+func newLink(to string) (*link, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("a link: %w", err)
+	}
+	k := &link{listener: l, to: to, wake: make(chan struct{}), conns: map[net.Conn]bool{}}
+	go k.accept()
+	return k, nil
+}
+
+func (k *link) address() string { return k.listener.Addr().String() }
+
+// set changes what is wrong; the zero fault heals.
+func (k *link) set(f fault) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.fault = f
+	close(k.wake)
+	k.wake = make(chan struct{})
+	if f.reset {
+		for c := range k.conns {
+			reset(c)
+		}
+	}
+}
+
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		t.SetLinger(0)
+	}
+	c.Close()
+}
+
+func (k *link) now() (fault, chan struct{}) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.fault, k.wake
+}
+
+func (k *link) accept() {
+	for {
+		c, err := k.listener.Accept()
+		if err != nil {
+			return
+		}
+		if f, _ := k.now(); f.reset || !k.keep(c, true) {
+			reset(c)
+			continue
+		}
+		go k.carry(c)
+	}
+}
+
+// keep notes a connection; false: the link is closed.
+func (k *link) keep(c net.Conn, on bool) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if on && !k.shut {
+		k.conns[c] = true
+	} else {
+		delete(k.conns, c)
+	}
+	return !k.shut
+}
+
+func (k *link) carry(c net.Conn) {
+	defer func() { k.keep(c, false); c.Close() }()
+	if !k.pass(func(f fault) bool { return f.there }) {
+		return
+	}
+	out, err := net.Dial("tcp", k.to)
+	if err != nil {
+		reset(c)
+		return
+	}
+	defer func() { k.keep(out, false); out.Close() }()
+	if !k.keep(out, true) {
+		return
+	}
+	done := make(chan struct{}, 2)
+	go func() { k.copy(out, c, func(f fault) bool { return f.there }); done <- struct{}{} }()
+	go func() { k.copy(c, out, func(f fault) bool { return f.back }); done <- struct{}{} }()
+	<-done
+	c.Close()
+	out.Close()
+	<-done
+}
+
+// pass waits until a direction is open; false: the link is closed.
+func (k *link) pass(held func(fault) bool) bool {
+	for {
+		f, wake := k.now()
+		if !held(f) {
+			return true
+		}
+		<-wake
+		k.mu.Lock()
+		shut := k.shut
+		k.mu.Unlock()
+		if shut {
+			return false
+		}
+	}
+}
+
+func (k *link) copy(to, from net.Conn, held func(fault) bool) {
+	buf := make([]byte, pieceMost)
+	sent := 0
+	for {
+		n, err := from.Read(buf)
+		if n > 0 {
+			if !k.pass(held) {
+				return
+			}
+			f, _ := k.now()
+			wait := f.delay
+			if f.rate > 0 {
+				wait += time.Duration(n) * time.Second / time.Duration(f.rate)
+			}
+			if wait > 0 {
+				time.Sleep(wait)
+			}
+			if f.after > 0 && sent+n > f.after {
+				to.Write(buf[:f.after-min(sent, f.after)])
+				reset(to)
+				reset(from)
+				return
+			}
+			if _, err := to.Write(buf[:n]); err != nil {
+				return
+			}
+			sent += n
+			k.mu.Lock()
+			k.bytes += int64(n)
+			k.mu.Unlock()
+		}
+		if err != nil {
+			return // net/http's connections end whole: the other half goes with this one
+		}
+	}
+}
+
+func (k *link) close() {
+	k.mu.Lock()
+	k.shut = true
+	close(k.wake)
+	k.wake = make(chan struct{})
+	for c := range k.conns {
+		reset(c)
+	}
+	k.mu.Unlock()
+	k.listener.Close()
+}
--- a/internal/lab/judge/ledger.go
+++ b/internal/lab/judge/ledger.go
@@ -127,9 +127,11 @@
 	Exited          // in order, after SIGTERM
 	Crashed         // by itself, or with a status of its own
 	Overstayed      // it had not ended when SIGKILL came after SIGTERM
+	Stopped         // by us, with SIGSTOP
+	Woken           // with SIGCONT
 )
 
-var whatNames = [...]string{"started", "ready", "killed", "sent SIGTERM", "sent SIGHUP", "ended", "crashed", "did not end after SIGTERM"}
+var whatNames = [...]string{"started", "ready", "killed", "sent SIGTERM", "sent SIGHUP", "ended", "crashed", "did not end after SIGTERM", "sent SIGSTOP", "sent SIGCONT"}
 
 func (w What) String() string { return whatNames[w] }
 
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -52,6 +52,9 @@
 	Launch   Launch
 	Ceiling  bool // measure the rig's own ceiling first
 
+	Beside func(context.Context, *Stage) // plays beside the day's troubles, from its start; its context ends with the day
+	Judge  func(*Stage) []judge.Breach   // what the rules are beside the four; both may be nil
+
 	Progress func(done, all int) // hears now and then how many requests have ended; may be nil
 }
 
@@ -67,13 +70,14 @@
 	troubles    *troubles
 	lag         report.Histogram
 	beats       report.Histogram
+	beside      func(context.Context, *Stage)
 }
 
 // Run plays a day. A run that ctx ends early is reported as far as it came. An error means that nothing could be played.
 func Run(ctx context.Context, o Options) (*report.Report, error) {
 	r := &run{
 		day: o.Scenario.Draw(o.Seed, o.Storm), ledger: judge.NewLedger(), launch: o.Launch, spawner: newSpawner(),
-		lag: report.NewHistogram(), beats: report.NewHistogram(),
+		lag: report.NewHistogram(), beats: report.NewHistogram(), beside: o.Beside,
 	}
 	defer close(r.spawner.quit)
 	dir, err := os.MkdirTemp("", "birchfork-lab-")
@@ -87,7 +91,7 @@
 			return nil, err
 		}
 	}
-	addresses, err := freeAddresses(o.Scenario.Dispatchers)
+	addresses, err := FreeAddresses(o.Scenario.Dispatchers)
 	if err != nil {
 		return nil, err
 	}
@@ -107,14 +111,17 @@
 	}
 	r.play(ctx, o.Progress)
 	v := judge.Judge(r.ledger, r.terms())
+	if o.Judge != nil {
+		v.Breaches = append(v.Breaches, o.Judge(&Stage{r})...)
+	}
 	rep := r.report(v)
 	rep.Policy, rep.Planted, rep.Interrupted, rep.Rig.Ceiling = o.Policy, o.Planted, ctx.Err() != nil, ceiling
 	return rep, nil
 }
 
-// freeAddresses are loopback addresses that nobody listens on, each of an IP of its own: no connection goes out from
+// FreeAddresses are loopback addresses that nobody listens on, each of an IP of its own: no connection goes out from
 // there, so that the port is still free when its dispatcher takes it, and when it takes it again after a restart.
-func freeAddresses(n int) ([]string, error) {
+func FreeAddresses(n int) ([]string, error) {
 	var out []string
 	net3 := [2]byte{byte(64 + rand.IntN(128)), byte(rand.IntN(256))}
 	for i := range n {
@@ -155,6 +162,9 @@
 	go func() { defer close(done); r.load.Run(during) }()
 	<-began
 	r.troubles.play(during)
+	if r.beside != nil {
+		r.troubles.waits.Go(func() { r.beside(during, &Stage{r}) })
+	}
 	<-done
 	if rest := r.load.Origin() + r.day.Scenario.For - r.ledger.Now(); rest > 0 {
 		select {
--- a/internal/lab/overhead.go
+++ b/internal/lab/overhead.go
@@ -83,7 +83,7 @@
 		return fmt.Errorf("a folder for the configuration: %w", err)
 	}
 	defer os.RemoveAll(dir)
-	addresses, err := freeAddresses(1)
+	addresses, err := FreeAddresses(1)
 	if err != nil {
 		return err
 	}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -100,7 +100,7 @@
 	}
 	_, clients, _ := c.share(1)
 	c.platform = config.Platform{
-		Settings: c.Settings, Classes: c.Names.Classes(), Tenants: c.Names.Tenants(), Clients: clients, Memory: c.Limits.memory(1),
+		Name: c.Name, Settings: c.Settings, Classes: c.Names.Classes(), Tenants: c.Names.Tenants(), Clients: clients, Memory: c.Limits.memory(1),
 	}
 	plan, err := config.Load(operator, c.platform)
 	if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/sirupsen/logrus"
 
 	"birchfork/internal/admin"
+	"birchfork/internal/council"
 	"birchfork/internal/handover"
 	"birchfork/internal/store"
 	"birchfork/internal/wire"
@@ -115,6 +116,7 @@
 	served    chan error
 	address   net.Addr
 	door      *admin.Door          // nil: there is none
+	council   *council.Council     // nil: the operators have no group
 	quit      context.CancelFunc   // ends the watch, the ticking and the sharing
 	listening chan struct{}        // closed once clients can connect
 	listener  *wire.SharedListener // nil: nobody may listen beside us
@@ -146,6 +148,7 @@
 	}
 	n.pool = store.NewPool(dialer(c.Settings), &n.store.Counters, 0, idleLife(c.Settings))
 	n.store.OnNews(func(w store.WorkerNews) { n.pool.Drop(w.Address) })
+	n.takePart() // before any list: where plans are in use nothing is sent before the group is heard of
 	known := n.known()
 	n.exchange() // who is out, before any list
 	if len(known.Entries) > 0 {
@@ -161,6 +164,7 @@
 	n.quit = quit
 	if err := n.open(ctx); err != nil {
 		quit()
+		n.leaveGroup()
 		n.store.Close()
 		n.process.Close()
 		return nil, err
@@ -328,6 +332,9 @@
 	if err := n.process.Leaving(); err != nil {
 		n.log.WithError(err).Error("other processes of this dispatcher do not hear that this one leaves")
 	}
+	if n.council != nil {
+		go n.council.Leave() // the drain does not wait for it
+	}
 	select {
 	case <-n.listening:
 	default: // it never had a client, and the process beside it has all: nothing is owed
@@ -384,6 +391,7 @@
 		n.door.Close(ctx)
 	}
 	n.quit()
+	n.leaveGroup()
 	n.sharing.Wait()
 	n.process.Close()
 	n.store.Close()
--- a/internal/node/share.go
+++ b/internal/node/share.go
@@ -20,7 +20,7 @@
 // claim takes a place among the processes of this dispatcher. Where that cannot be done we are alone: nothing is shared,
 // and all else is as ever.
 func (n *node) claim() {
-	if n.config.Admin == "" {
+	if n.config.Admin == "" && n.config.group() == nil {
 		return
 	}
 	p, err := handover.Open(os.Getenv("TMPDIR"), n.config.Name)
--- /dev/null
+++ b/internal/outage/outage.go
@@ -0,0 +1,327 @@
+// Package outage decides in which order machines are taken out for work, by settled entries alone: it has no I/O, no clock
+// and no goroutine. The same entries give the same state at each member, byte by byte. What members know of the fleet, and
+// the time that has gone by, come with the entries.
+package outage
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Step is where a machine of a plan stands.
+type Step string
+
+// The steps, in their order; the last three end a machine besides Done.
+const (
+	Waiting   Step = "waiting"
+	Leaving   Step = "leaving"   // nothing new goes there; what is there ends
+	Clear     Step = "clear"     // nothing of any member is there, and nothing can come
+	Out       Step = "out"       // staff were told so and have it
+	Returning Step = "returning" // put back, cold
+	Warm      Step = "warm"      // takes its full part again
+	Done      Step = "done"
+	Skipped   Step = "skipped"
+	Failed    Step = "failed" // it did not come back in time
+)
+
+// away tells whether nothing may be sent to a machine in this step.
+func (s Step) away() bool { return s == Leaving || s == Clear || s == Out }
+
+// over tells whether the plan is through with the machine.
+func (s Step) over() bool { return s == Done || s == Skipped }
+
+// Phase is where a plan stands.
+type Phase string
+
+// The phases.
+const (
+	HandedIn  Phase = "handed in" // not begun
+	Announced Phase = "announced" // begins once each member has it in force
+	Running   Phase = "running"
+	Paused    Phase = "paused" // takes no further machine
+	Aborting  Phase = "aborting"
+	Ended     Phase = "ended"
+)
+
+// open tells whether members need a lease for the machines of a plan.
+func (p Phase) open() bool { return p != HandedIn && p != Ended }
+
+// What happens when a step takes too long.
+const (
+	Wait  = "wait"  // it is told, and nothing else
+	Pause = "pause" // the plan takes no further machine
+	Skip  = "skip"  // a machine that does not get clear in time is put back and left out; else as Pause
+)
+
+// Plan is what staff hand in.
+type Plan struct {
+	Name     string        `json:"name"`
+	Machines []Machine     `json:"machines"`
+	Out      int           `json:"out"`      // machines away at a time, in the fleet
+	ZoneOut  int           `json:"zone_out"` // ... in a zone; 0: no bound of its own
+	KindOut  int           `json:"kind_out"` // ... of a kind
+	Capacity float64       `json:"capacity"` // the least share of the listed weight that stays
+	Leave    time.Duration `json:"leave"`    // so long a machine may take to get clear
+	Work     time.Duration `json:"work"`     // so long staff may have it
+	Back     time.Duration `json:"back"`     // so long it may take to be warm again
+	Overdue  string        `json:"overdue"`  // what happens then
+}
+
+// Machine is a set of runners that are worked on together.
+type Machine struct {
+	Name    string   `json:"name"`
+	Runners []string `json:"runners"`
+}
+
+// Member is a dispatcher of the group.
+type Member struct {
+	Name  string `json:"name"`
+	Life  string `json:"life"` // drawn anew with each empty disk
+	ID    uint64 `json:"id"`   // raft's, of this life
+	Voter bool   `json:"voter"`
+	Old   []Life `json:"old,omitempty"` // before, not to be heard any more
+}
+
+// Life is one that a member has had.
+type Life struct {
+	Life string `json:"life"`
+	ID   uint64 `json:"id"`
+}
+
+// Was tells whether a life is one before the present.
+func (m *Member) Was(life string) bool {
+	return slices.ContainsFunc(m.Old, func(l Life) bool { return l.Life == life })
+}
+
+// Kind is what a command asks for.
+type Kind string
+
+// The kinds.
+const (
+	Join    Kind = "join"   // Member
+	Retire  Kind = "retire" // Name, of a member
+	HandIn  Kind = "plan"   // Plan
+	Start   Kind = "start"  // Name, of a plan, as in all that follow
+	Halt    Kind = "pause"
+	Resume  Kind = "resume"
+	Abort   Kind = "abort"
+	Take    Kind = "wait"    // Machine: staff have been told that it is clear
+	GiveUp  Kind = "skip"    // Machine
+	Return  Kind = "done"    // Machine
+	Proceed Kind = "advance" // Advance
+)
+
+// Command is one settled entry.
+type Command struct {
+	ID      string   `json:"id,omitempty"` // of a call of staff: one that comes twice acts once
+	Kind    Kind     `json:"kind"`
+	Name    string   `json:"name,omitempty"`
+	Machine string   `json:"machine,omitempty"`
+	Plan    *Plan    `json:"plan,omitempty"`
+	Member  *Member  `json:"member,omitempty"`
+	Advance *Advance `json:"advance,omitempty"`
+}
+
+// Advance is what the leader has heard, for the core to go on by.
+type Advance struct {
+	Seq    uint64            `json:"seq"`    // of the state that it was drawn up from: for any other it counts nothing
+	Waited time.Duration     `json:"waited"` // since its proposer had that state
+	Bound  time.Duration     `json:"bound"`  // the lease, its drift and the longest attempt, at the most over all members
+	Warm   time.Duration     `json:"warm"`   // until a started runner is warm
+	Words  map[string]Word   `json:"words"`  // by member
+	Fleet  map[string]Runner `json:"fleet"`  // by runner
+}
+
+// Word is what a member has told of itself last.
+type Word struct {
+	Life    string   `json:"life"`
+	Applied uint64   `json:"applied"`        // the entries up to this index are in force at it
+	Alone   bool     `json:"alone"`          // no other process of this dispatcher lives, and none left work behind
+	Busy    []string `json:"busy,omitempty"` // runners where something of its own runs or may run
+}
+
+// Runner is what members know of a runner.
+type Runner struct {
+	Zone   string  `json:"zone"`
+	Kind   string  `json:"kind"`
+	Weight float64 `json:"weight"`
+	Down   bool    `json:"down,omitempty"` // gone, or draining
+	Cold   bool    `json:"cold,omitempty"`
+	Hand   bool    `json:"hand,omitempty"` // left out by hand at some dispatcher
+}
+
+func (r Runner) away() bool { return r.Down || r.Cold || r.Hand }
+
+// Answer is what a call came to.
+type Answer struct {
+	ID   string `json:"id"`
+	Code int    `json:"code"` // 0: done; 1: wrong; 2: not now
+	Text string `json:"text"`
+}
+
+// The codes of answers, which are the exit statuses of the command line too.
+const (
+	Yes    = 0
+	Wrong  = 1
+	NotNow = 2
+)
+
+// Event is something that was settled, for logs.
+type Event struct {
+	Plan    string `json:"plan,omitempty"`
+	Machine string `json:"machine,omitempty"`
+	What    string `json:"what"`
+}
+
+// Place is a machine of a plan under way.
+type Place struct {
+	Machine
+	Step    Step          `json:"step"`
+	At      uint64        `json:"at"`                // the entry that began the step
+	Since   time.Duration `json:"since"`             // on the group's clock
+	Overdue bool          `json:"overdue,omitempty"` // the step has taken longer than the plan allows
+}
+
+// Under is a plan with its machines.
+type Under struct {
+	Plan
+	Phase  Phase    `json:"phase"`
+	At     uint64   `json:"at"` // the entry that announced it
+	Places []*Place `json:"places"`
+	Zone   string   `json:"zone,omitempty"` // of the machine that was taken last
+}
+
+// State is all that is settled.
+type State struct {
+	Seq     uint64             `json:"seq"` // counts the commands that changed anything
+	Index   uint64             `json:"index"`
+	Clock   time.Duration      `json:"clock"` // of the group: never more than what has gone by
+	Bound   time.Duration      `json:"bound"`
+	Warm    time.Duration      `json:"warm"`
+	Members map[string]*Member `json:"members"`
+	Plans   []*Under           `json:"plans"`
+	Answers []Answer           `json:"answers"` // of the newest calls
+}
+
+// Bounds on what is kept.
+const (
+	answersKept = 512 // calls that may be made again without acting twice
+	plansKept   = 32  // ended ones go first
+	MachineMost = 1000
+)
+
+// New returns the state of a group that begins.
+func New() *State { return &State{Members: map[string]*Member{}} }
+
+// Encode is the state as bytes, the same for equal states.
+func (s *State) Encode() ([]byte, error) { return json.Marshal(s) }
+
+// Decode reads what Encode wrote.
+func Decode(raw []byte) (*State, error) {
+	s := New()
+	if err := json.Unmarshal(raw, s); err != nil {
+		return nil, fmt.Errorf("the settled state: %w", err)
+	}
+	return s, nil
+}
+
+// Clone is a copy that shares nothing.
+func (s *State) Clone() (*State, error) {
+	raw, err := s.Encode()
+	if err != nil {
+		return nil, err
+	}
+	return Decode(raw)
+}
+
+// Apply carries out one settled entry. What it cannot read changes nothing: a newer build's entry, at an older one.
+func (s *State) Apply(index uint64, raw []byte) (events []Event) {
+	if index <= s.Index { // in the snapshot already
+		return nil
+	}
+	s.Index = index
+	var c Command
+	if json.Unmarshal(raw, &c) != nil {
+		return nil
+	}
+	if c.ID != "" {
+		if _, ok := s.Answer(c.ID); ok {
+			return nil
+		}
+	}
+	r := &run{State: s}
+	code, text := r.do(&c)
+	if c.ID != "" {
+		s.Answers = append(s.Answers, Answer{c.ID, code, text})
+		s.Answers = s.Answers[max(0, len(s.Answers)-answersKept):]
+	}
+	if len(r.events) > 0 {
+		s.Seq++
+	}
+	return r.events
+}
+
+// Answer is what a call of this id came to.
+func (s *State) Answer(id string) (Answer, bool) {
+	i := slices.IndexFunc(s.Answers, func(a Answer) bool { return a.ID == id })
+	if i < 0 {
+		return Answer{}, false
+	}
+	return s.Answers[i], true
+}
+
+// Away are the runners to which nothing may be sent.
+func (s *State) Away() map[string]bool {
+	return s.runners(func(_ *Under, p *Place) bool { return p.Step.away() })
+}
+
+// Leased are the runners to which members may send only under the lease: all of plans that are not through with them.
+func (s *State) Leased() map[string]bool {
+	return s.runners(func(u *Under, p *Place) bool { return u.Phase.open() && !p.Step.over() })
+}
+
+func (s *State) runners(picked func(*Under, *Place) bool) map[string]bool {
+	out := map[string]bool{}
+	for _, u := range s.Plans {
+		for _, p := range u.Places {
+			if picked(u, p) {
+				for _, r := range p.Runners {
+					out[r] = true
+				}
+			}
+		}
+	}
+	return out
+}
+
+// Plan is the plan of a name; nil where there is none.
+func (s *State) Plan(name string) *Under {
+	for _, u := range s.Plans {
+		if u.Name == name {
+			return u
+		}
+	}
+	return nil
+}
+
+// Find is the place of a machine in the plan of a name, or, where that is empty, in the one that is under way; nil where
+// there is none.
+func (s *State) Find(plan, machine string) (*Under, *Place) {
+	for _, u := range s.Plans {
+		if plan == "" && !u.Phase.open() || plan != "" && u.Name != plan {
+			continue
+		}
+		for _, p := range u.Places {
+			if p.Name == machine {
+				return u, p
+			}
+		}
+	}
+	return nil, nil
+}
+
+// Names are the members' names, sorted.
+func (s *State) Names() []string { return slices.Sorted(maps.Keys(s.Members)) }
--- /dev/null
+++ b/internal/store/guard.go
@@ -0,0 +1,150 @@
+package store
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"birchfork/rules"
+)
+
+// Guard is what a group of dispatchers has settled on workers, by name, as far as it binds this one. It takes away only.
+type Guard struct {
+	Away   map[string]bool // taken out for work: nothing goes there
+	Leased map[string]bool // of plans under way: sent to only while the lease runs
+}
+
+// runSlack is how much later than its deadline a job may end at a worker that has been told the time left when the last
+// byte came: the way there, and the worker's own timer.
+const runSlack = 250 * time.Millisecond
+
+// Guard takes the group's settled word over, in place of the one before. From its return on nothing is sent to workers that
+// are away, and to those under the lease only while that runs. One that comes back has been started anew meanwhile.
+func (s *Store) Guard(g Guard) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, id := range s.leased {
+		s.workers[id].leased = false
+	}
+	s.leased = s.leased[:0]
+	for _, name := range slices.Sorted(maps.Keys(g.Leased)) {
+		id := s.names.Worker(name)
+		s.viewOf(id).leased = true
+		s.leased = append(s.leased, id)
+	}
+	var away []rules.WorkerID
+	for _, name := range slices.Sorted(maps.Keys(g.Away)) {
+		id := s.names.Worker(name)
+		if away = append(away, id); s.viewOf(id).out&byPlan == 0 {
+			s.leaveOut(id, byPlan)
+		}
+	}
+	for _, id := range s.away {
+		if !slices.Contains(away, id) {
+			s.letIn(id, byPlan, 0)
+		}
+	}
+	s.away = away
+	s.bar()
+}
+
+// Lease says until when the group's lease runs; a moment before the present one says that it runs no more.
+func (s *Store) Lease(until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaseUntil = until
+	s.bar()
+}
+
+// Blind says whether we know nothing of the group's plans: then every worker may be in pieces, and counts as under the lease.
+func (s *Store) Blind(blind bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.blind = blind
+	s.bar()
+}
+
+// mayLease tells whether the lease lets us send to a worker at this moment. The lock is held.
+func (s *Store) mayLease(w *workerView) bool {
+	return !w.leased && !s.blind || time.Now().Before(s.leaseUntil)
+}
+
+// bar tells the module which workers have no lease, so that it draws others. A worker whose lease comes back started when
+// the list says. The lock is held.
+func (s *Store) bar() {
+	if !s.blind && len(s.leased) == 0 && !s.barred {
+		return
+	}
+	s.barred = false
+	for i := range s.workers {
+		w, id := &s.workers[i], rules.WorkerID(i)
+		switch may := s.mayLease(w); {
+		case may && w.out&noLease != 0:
+			s.letIn(id, noLease, 0)
+		case !may && w.out&noLease == 0:
+			s.leaveOut(id, noLease)
+		}
+		s.barred = s.barred || s.workers[i].out&noLease != 0
+	}
+}
+
+// landed notes the end of an attempt. Where it does not tell that the job is over, the job may run up to its deadline. The
+// lock is held.
+func (s *Store) landed(a *Attempt, result rules.Result) {
+	if int(a.worker) >= len(s.workers) {
+		return
+	}
+	w := &s.workers[a.worker]
+	w.flying--
+	switch result {
+	case rules.TimedOut, rules.Cancelled, rules.Disconnected, rules.UnknownResult:
+		if end, ok := a.ctx.Deadline(); ok && end.Add(runSlack).After(w.mayRun) {
+			w.mayRun = end.Add(runSlack)
+		}
+	}
+}
+
+// Busy are the names of those workers under the lease, or away, where something of ours runs or may run, sorted.
+func (s *Store) Busy() (names []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for id := range s.workers {
+		w := &s.workers[id]
+		if (w.leased || w.out&byPlan != 0) && (w.flying > 0 || now.Before(w.mayRun)) {
+			names = append(names, s.names.WorkerName(rules.WorkerID(id)))
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Seen is what this dispatcher knows of a worker.
+type Seen struct {
+	Name, Zone, Kind string
+	Weight           float64
+	Down             bool // draining, or gone for no longer than was asked
+	Cold             bool // started, or put back, for no longer than was asked
+	Hand             bool // left out by hand
+}
+
+// Fleet is what this dispatcher knows of all workers: those that have left are told for a while, and started ones are cold
+// for a while.
+func (s *Store) Fleet(gone, cold time.Duration) (all []Seen) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	for i := range s.workers {
+		w := &s.workers[i]
+		e := &w.entry
+		if e.Name == "" || e.State == rules.Gone && now-w.left > rules.Time(gone.Microseconds()) {
+			continue
+		}
+		since := max(w.started, w.back)
+		all = append(all, Seen{
+			Name: e.Name, Zone: e.Zone, Kind: e.Kind, Weight: e.Weight, Down: e.State != rules.Ready,
+			Cold: since > 0 && now-since < rules.Time(cold.Microseconds()), Hand: w.out&byHand != 0,
+		})
+	}
+	return all
+}
--- a/internal/store/hand.go
+++ b/internal/store/hand.go
@@ -53,18 +53,56 @@
 	if !h.At.After(w.handAt) {
 		return
 	}
-	if w.handAt = h.At; h.Out {
+	w.handAt = h.At
+	if h.Out {
+		s.leaveOut(id, byHand)
+	} else {
+		s.letIn(id, byHand, rules.Time(max(0, time.Since(h.At)).Microseconds()))
+	}
+}
+
+// cause is why nothing is sent to a worker beside what the list says of it; several may hold at once.
+type cause uint8
+
+// The causes.
+const (
+	byHand  cause = 1 << iota // the operators left it out at this dispatcher
+	byPlan                    // the group has taken its machine out
+	noLease                   // we may not send there just now, and know nothing against the worker
+)
+
+// leaveOut keeps everything away from a worker, for one more cause. The lock is held.
+func (s *Store) leaveOut(id rules.WorkerID, c cause) {
+	w := &s.workers[id]
+	if c != noLease {
 		w.hand++
 	}
-	if w.out != h.Out {
-		w.out = h.Out
+	if w.out == 0 && c != noLease {
 		s.onNews(WorkerNews{w.entry.Address}) // what is open leads to a process that ends, or has ended
 	}
-	e := rules.Event{Kind: rules.TakenOut, Worker: id}
-	if !h.Out {
-		e.Kind, e.Elapsed = rules.PutBack, rules.Time(max(0, time.Since(h.At)).Microseconds())
+	w.out |= c
+	s.handle(s.now(), &rules.Event{Kind: rules.TakenOut, Worker: id})
+}
+
+// letIn ends one cause, since so long ago. The worker serves again where no other holds, as one that was started when it was
+// put back last, or for want of a lease alone, when the list says, if that is later: a cold one stays cold. The lock is held.
+func (s *Store) letIn(id rules.WorkerID, c cause, ago rules.Time) {
+	w, now := &s.workers[id], s.now()
+	was := w.out
+	if c != noLease {
+		w.back = max(w.back, now-ago)
+	}
+	if w.out &^= c; w.out != 0 {
+		return
+	}
+	if was != 0 && c != noLease {
+		s.onNews(WorkerNews{w.entry.Address})
+	}
+	since := w.back
+	if c == noLease {
+		since = max(since, w.started)
 	}
-	s.handle(s.now(), &e)
+	s.handle(now, &rules.Event{Kind: rules.PutBack, Worker: id, Elapsed: now - since})
 }
 
 // Out are the names of the workers that are out by hand, sorted.
@@ -72,7 +110,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id := range s.workers {
-		if s.workers[id].out {
+		if s.workers[id].out&byHand != 0 {
 			names = append(names, s.names.WorkerName(rules.WorkerID(id)))
 		}
 	}
--- a/internal/store/list.go
+++ b/internal/store/list.go
@@ -29,9 +29,14 @@
 type workerView struct {
 	entry   Entry      // as it was told last
 	started rules.Time // since on the module's clock
-	out     bool       // left out by hand
+	out     cause      // why nothing goes there, whatever the list says
 	handAt  time.Time  // when the operators spoke of it last
-	hand    int        // how often it was: what was ordered before does not go out after
+	left    rules.Time // when the list told that it has gone
+	back    rules.Time // when it was put back last, by hand or by the group
+	hand    int        // how often it was left out: what was ordered before does not go out after
+	leased  bool       // of a plan under way: sent to only under the group's lease
+	flying  int        // attempts that have not ended
+	mayRun  time.Time  // until then one may run there that we know nothing of any more
 }
 
 // ready says whether something may be sent there, by the list alone.
@@ -52,7 +57,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i := range s.workers {
-		if s.workers[i].ready() && !s.workers[i].out {
+		if s.workers[i].ready() && s.workers[i].out == 0 {
 			return true, s.fresh
 		}
 	}
@@ -70,6 +75,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.noteBeat(time.Now())
+	s.bar()
 }
 
 // noteBeat notes a beat, and how long sends have to wait where it comes late. The lock is held.
@@ -129,11 +135,15 @@
 			}
 			w := &s.workers[id] // who is missing has left
 			was := w.ready()
+			if w.entry.State != rules.Gone {
+				w.left = s.now()
+			}
 			if w.entry.State = rules.Gone; was {
 				s.onNews(WorkerNews{w.entry.Address})
 			}
 		}
 	}
+	s.bar() // before the module hears of a worker that it may not use yet
 	s.handle(s.now(), &e)
 }
 
@@ -172,6 +182,9 @@
 			w.started = max(s.at(now)-rules.Time(now.UnixMicro()-n.Since*1000), 0)
 		}
 	}
+	if n.State == rules.Gone && old.State != rules.Gone {
+		w.left = s.now()
+	}
 	w.entry = *n
 	return w.started
 }
--- a/internal/store/request.go
+++ b/internal/store/request.go
@@ -227,6 +227,7 @@
 	if int(a.Worker) < len(r.s.workers) {
 		w := &r.s.workers[a.Worker]
 		t.addr, t.since, t.hand = w.entry.Address, w.entry.Since, w.hand
+		w.flying++
 	}
 	ctx, cancel := context.WithCancelCause(context.Background())
 	t.cancel = cancel
@@ -259,7 +260,16 @@
 		return false
 	}
 	w := &s.workers[a.worker]
-	return w.ready() && !w.out && w.entry.Address == a.addr && w.entry.Since == a.since && w.hand == a.hand
+	return w.ready() && w.out == 0 && s.mayLease(w) && w.entry.Address == a.addr && w.entry.Since == a.since && w.hand == a.hand
+}
+
+// Leased tells whether the attempt may go out under the group's lease only: its last byte is then to leave by itself, right
+// behind a further look at Clear.
+func (a *Attempt) Leased() bool {
+	s := a.r.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.blind || int(a.worker) < len(s.workers) && s.workers[a.worker].leased
 }
 
 // Started reports that the job began to run.
@@ -312,6 +322,7 @@
 	a.cancel(errEnded)
 	r, s := a.r, a.r.s
 	s.Counters.ended(result)
+	s.landed(a, result)
 	if result == rules.OK {
 		r.end(Order{Kind: Served, Result: answer})
 	}
--- a/internal/wire/runner.go
+++ b/internal/wire/runner.go
@@ -166,11 +166,20 @@
 func (x *Runners) exchange(a *store.Attempt, c *call, conn *store.Conn) ending {
 	end, _ := a.Context().Deadline()
 	msg := c.appendTo(make([]byte, 0, 512+len(c.body)), a.Address(), time.Until(end))
-	if n, err := conn.Write(msg); err != nil && n < len(msg) { // its last byte never left: it cannot have run
-		if a.Cancelled() {
+	if a.Leased() {
+		// Guards against a runner that was taken out while we stood still in the middle of the request: it begins with the
+		// last byte, and what the kernel holds for a silent link must not come later than we know of.
+		conn.SetLinger(0)
+		if _, err := conn.Write(msg[:len(msg)-1]); err != nil {
+			return unsent(a)
+		}
+		if !a.Clear() {
 			return ending{result: rules.NotSent}
 		}
-		return ending{result: rules.Unreachable}
+		msg = msg[len(msg)-1:]
+	}
+	if n, err := conn.Write(msg); err != nil && n < len(msg) { // its last byte never left: it cannot have run
+		return unsent(a)
 	}
 	written := time.Now()
 	conn.Limit(headMost)
@@ -223,6 +232,14 @@
 	}
 }
 
+// unsent is the outcome of a request that could not be written whole.
+func unsent(a *store.Attempt) ending {
+	if a.Cancelled() {
+		return ending{result: rules.NotSent}
+	}
+	return ending{result: rules.Unreachable}
+}
+
 // broken is the outcome of an answer that did not come whole.
 func broken(a *store.Attempt) rules.Result {
 	switch {
