--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -22,6 +22,7 @@
 	"birchfork/internal/config"
 	"birchfork/internal/group"
 	"birchfork/internal/outage"
+	"birchfork/internal/plant"
 	"birchfork/internal/store"
 )
 
@@ -128,7 +129,7 @@
 	ctx, quit := context.WithCancel(context.Background())
 	c := &Council{o: o, quit: quit, done: make(chan struct{}), state: outage.New(), at: time.Now(), changed: make(chan struct{}), words: map[string]heard{},
 		heardOf: map[uint64]string{}}
-	o.Dispatcher.Blind(o.Group.Plans)
+	o.Dispatcher.Blind(o.Group.Plans && !plant.On(plant.SeesAnyway))
 	go c.run(ctx)
 	return c
 }
--- a/internal/council/member.go
+++ b/internal/council/member.go
@@ -13,6 +13,7 @@
 	"birchfork/internal/agree"
 	"birchfork/internal/group"
 	"birchfork/internal/outage"
+	"birchfork/internal/plant"
 )
 
 // The paths of the links. What comes by a relay was passed on once already.
@@ -251,6 +252,9 @@
 	if err := c.inForce(ctx, g.Index); err != nil {
 		return err
 	}
+	if plant.On(plant.LateLease) {
+		began = time.Now().Add(c.o.Group.Lease)
+	}
 	c.o.Dispatcher.Lease(began.Add(c.o.Group.Lease))
 	c.o.Dispatcher.Blind(false)
 	return nil
--- a/internal/council/staff.go
+++ b/internal/council/staff.go
@@ -14,6 +14,7 @@
 	"birchfork/internal/agree"
 	"birchfork/internal/group"
 	"birchfork/internal/outage"
+	"birchfork/internal/plant"
 )
 
 // Call is what staff ask for. A Command's ID makes it act once however often it comes.
@@ -216,6 +217,9 @@
 	if err := a.Propose(ctx, raw); err != nil {
 		return nil, err
 	}
+	if plant.On(plant.SilentAnswer) {
+		return json.Marshal(Reply{Text: "yes"})
+	}
 	var was outage.Answer
 	err = c.until(ctx, func(s *outage.State) (ok bool) {
 		was, ok = s.Answer(cmd.ID)
--- a/internal/lab/groups/groups_test.go
+++ b/internal/lab/groups/groups_test.go
@@ -11,17 +11,23 @@
 
 	"github.com/sirupsen/logrus"
 
-	"birchfork/internal/lab/scenario"
 	"birchfork/internal/node"
+	"birchfork/internal/plant"
 )
 
-// asMember in the environment makes this test's own binary a member.
+// asMember in the environment makes this test's own binary a member, with the fault that it names.
 const asMember = "GROUPS_TEST_MEMBER"
 
+const sound = "none"
+
 func TestMain(m *testing.M) {
-	if os.Getenv(asMember) == "" {
+	who := os.Getenv(asMember)
+	if who == "" {
 		os.Exit(m.Run())
 	}
+	if who != sound {
+		plant.Set(who)
+	}
 	c, err := node.LoadAll(os.Args[1], os.Args[2], "")
 	if err == nil {
 		log := logrus.New()
@@ -40,59 +46,59 @@
 	}
 }
 
-func launch(config, operator string) *exec.Cmd {
-	cmd := exec.Command(os.Args[0], config, operator)
-	cmd.Env = append(os.Environ(), asMember+"=1")
-	return cmd
-}
-
-// day is a calm day with short jobs and quick lists.
-func day(t *testing.T, members int, length time.Duration) *scenario.Scenario {
-	t.Helper()
-	s, err := scenario.Load("calm")
-	if err == nil {
-		err = s.Override(40, length, 9, members)
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
-	for i := range s.Classes {
-		s.Classes[i].Patience = 2 * time.Second
+func launch(fault string) func(config, operator string) *exec.Cmd {
+	return func(config, operator string) *exec.Cmd {
+		cmd := exec.Command(os.Args[0], config, operator)
+		cmd.Env = append(os.Environ(), asMember+"="+fault)
+		return cmd
 	}
-	s.Terms.WarmWithin = 2 * time.Second
-	s.List.Lag, s.List.Jitter = 100*time.Millisecond, 100*time.Millisecond
-	return s
 }
 
-func play(t *testing.T, o Options) *Result {
+func play(t *testing.T, fault string, o Options, length time.Duration) *Result {
 	t.Helper()
-	o.Launch = launch
-	if o.Lease == 0 {
-		o.Lease = 2 * time.Second
+	var err error
+	if o.Scenario, err = Day(3, length); err != nil {
+		t.Fatal(err)
 	}
+	o.Launch, o.Lease, o.Out, o.Work = launch(fault), time.Second, 1, 300*time.Millisecond
+	o.Seed = 1
 	r, err := Run(context.Background(), o)
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, b := range r.Report.Breaches {
-		t.Errorf("%s", b)
-	}
-	for _, c := range r.Report.CrashNotes {
-		t.Errorf("%s", c)
-	}
-	t.Logf("%d machines, plan from %v to %v, %d calls (%d unclear), goodput %.3f, faults %v", len(r.Works), r.Origin, r.Ended,
-		r.Calls, r.Unclear, r.Report.Goodput, r.Faults)
+	t.Log(r.Line(o.Seed))
 	return r
 }
 
-// Three processes, one fault: a member that is cut off from the others while machines are taken out sends nothing there,
-// and is waited for no longer than its lease and the work that it may have left.
-func TestAMemberThatIsCutOff(t *testing.T) {
-	r := play(t, Options{
-		Scenario: day(t, 3, 18*time.Second), Seed: 1, Out: 1, Machines: 2, Work: 500 * time.Millisecond,
-		Faults: []Fault{{Kind: Cut, Member: 2, At: 100 * time.Millisecond, For: 9 * time.Second}},
-	})
-	if len(r.Works) != 2 || r.Ended == 0 {
-		t.Errorf("%d machines were worked on; the plan: %s", len(r.Works), r.Last)
+// Three processes and a fault between them: all rules hold, and the plan goes through.
+func TestFaultsBetweenProcesses(t *testing.T) {
+	const s = time.Second
+	for name, faults := range map[string][]Fault{
+		"a member is cut off":                {{Cut, 2, 0, 8 * s}},
+		"the leader is cut off":              {{Cut, -1, 0, 8 * s}},
+		"a member hears nothing":             {{Deaf, 2, 0, 8 * s}},
+		"nobody hears the leader":            {{Mute, -1, 0, 6 * s}},
+		"links break, crawl and lag":         {{Torn, 1, 0, 3 * s}, {Narrow, 2, 1 * s, 4 * s}, {Slow, 0, 2 * s, 4 * s}},
+		"the leader stands still and wakes":  {{Stop, -1, s / 2, 4 * s}},
+		"a member stands still and wakes":    {{Stop, 2, s / 2, 6 * s}},
+		"the leader is killed":               {{Kill, -1, s / 2, 3 * s}},
+		"a member comes back without a disk": {{Wipe, 2, s / 2, 2 * s}},
+		"the leader comes back without one":  {{Wipe, -1, s / 2, 2 * s}},
+		"the leader is restarted in order":   {{Term, -1, s / 2, 0}},
+		"all are restarted one by one":       {{Term, 0, s / 2, 0}, {Term, 1, 4 * s, 0}, {Term, 2, 8 * s, 0}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := play(t, sound, Options{Machines: 2, Faults: faults}, 22*s)
+			for _, b := range r.Report.Breaches {
+				t.Errorf("%s", b)
+			}
+			for _, c := range r.Report.CrashNotes {
+				t.Errorf("%s", c)
+			}
+			if len(r.Works) != 2 || r.Ended == 0 {
+				t.Errorf("%d machines were worked on; the plan: %s", len(r.Works), r.Last)
+			}
+		})
 	}
 }
--- /dev/null
+++ b/internal/lab/groups/result.go
@@ -0,0 +1,125 @@
+package groups
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"birchfork/internal/lab/judge"
+	"birchfork/internal/lab/scenario"
+)
+
+// Day is a usual day for so many members: short jobs, quick lists, no trouble of its own.
+func Day(members int, length time.Duration) (*scenario.Scenario, error) {
+	s, err := scenario.Load("calm")
+	if err != nil {
+		return nil, err
+	}
+	if err := s.Override(40, length, 9, members); err != nil {
+		return nil, err
+	}
+	for i := range s.Classes {
+		s.Classes[i].Patience = 2 * time.Second
+	}
+	s.Terms.WarmWithin = time.Second
+	s.List.Lag, s.List.Jitter = 100*time.Millisecond, 100*time.Millisecond
+	return s, nil
+}
+
+// Rules broken in a run, by name.
+func (r *Result) broken() map[string]int {
+	out := map[string]int{}
+	for _, b := range r.Report.Breaches {
+		out[b.Rule]++
+	}
+	if r.Report.Crashes > 0 {
+		out["crash"] = r.Report.Crashes
+	}
+	return out
+}
+
+// Line says in one line what a run came to.
+func (r *Result) Line(seed uint64) string {
+	var broken []string
+	all := r.broken()
+	for _, rule := range slices.Concat(Rules, judge.Rules, []string{"crash"}) {
+		if n := all[rule]; n > 0 {
+			broken = append(broken, fmt.Sprintf("%s %d", rule, n))
+		}
+	}
+	verdict := "kept"
+	if len(broken) > 0 {
+		verdict = "BROKEN " + strings.Join(broken, ", ")
+	}
+	return fmt.Sprintf("seed %d: %s; %d machines, plan through %.1f s after it ran, %d calls (%d without an answer), goodput %.3f; %s",
+		seed, verdict, len(r.Works), max(r.Ended-r.Origin, 0).Seconds(), r.Calls, r.Unclear, r.Report.Goodput, r.story())
+}
+
+// story is the faults in their order.
+func (r *Result) story() string {
+	all := slices.Clone(r.Faults)
+	slices.SortFunc(all, func(a, b Fault) int { return int(a.At - b.At) })
+	var out []string
+	for _, f := range all {
+		who := fmt.Sprintf("d%d", f.Member)
+		if f.Member < 0 {
+			who = "the leader"
+		}
+		out = append(out, fmt.Sprintf("%s %s %.1f-%.1f", f.Kind, who, f.At.Seconds(), (f.At+f.For).Seconds()))
+	}
+	return strings.Join(out, ", ")
+}
+
+// Append adds a run to a file, as a line of JSON.
+func (r *Result) Append(path string, seed uint64) error {
+	raw, err := json.Marshal(struct {
+		Seed uint64
+		*Result
+		Broken map[string]int
+	}{seed, r, r.broken()})
+	if err != nil {
+		return err
+	}
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	_, err = f.Write(append(raw, '\n'))
+	return err
+}
+
+// Sum sums runs up.
+type Sum struct {
+	Runs, Broken, Machines int
+	took                   *hdrhistogram.Histogram
+}
+
+// Add adds a run.
+func (s *Sum) Add(r *Result) {
+	if s.took == nil {
+		s.took = hdrhistogram.New(1, int64(time.Hour/time.Millisecond), 3)
+	}
+	s.Runs++
+	s.Machines += len(r.Works)
+	if len(r.broken()) > 0 {
+		s.Broken++
+	}
+	if r.Ended > r.Origin {
+		s.took.RecordValue((r.Ended - r.Origin).Milliseconds())
+	}
+}
+
+// Line says in one line what they came to.
+func (s *Sum) Line() string {
+	if s.took == nil {
+		return "no run"
+	}
+	return fmt.Sprintf("%d runs, %d with a broken rule or a crash; %d machines worked on; %d plans through, median %.1f s, worst %.1f s",
+		s.Runs, s.Broken, s.Machines, s.took.TotalCount(), float64(s.took.ValueAtQuantile(50))/1000, float64(s.took.Max())/1000)
+}
--- a/internal/outage/advance.go
+++ b/internal/outage/advance.go
@@ -3,9 +3,12 @@
 import (
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
+
+	"birchfork/internal/plant"
 )
 
 // advance goes on by what the leader has heard: machines that are clear, back, warm or overdue, plans that may begin, and
@@ -73,6 +76,9 @@
 // held are the members because of whom a machine that leaves is not clear yet, sorted.
 func (s *State) held(p *Place, a *Advance) []string {
 	out := s.unheard(p.At, a)
+	if plant.On(plant.FewWords) {
+		return nil
+	}
 	for _, name := range s.Names() {
 		w := a.Words[name]
 		if slices.ContainsFunc(p.Runners, func(r string) bool { return slices.Contains(w.Busy, r) }) && !slices.Contains(out, name) {
@@ -89,7 +95,7 @@
 	switch p.Step {
 	case Leaving:
 		// Nobody's lease from before the entry runs any more after Bound, nor any attempt that was begun under it.
-		if took >= r.Bound && r.Bound > 0 || len(r.held(p, a)) == 0 {
+		if took >= r.Bound && r.Bound > 0 && !plant.On(plant.NeverClear) || len(r.held(p, a)) == 0 {
 			r.step(u, p, Clear)
 		} else if r.overdue(u, p, took, u.Leave) && u.Overdue == Skip {
 			r.step(u, p, Returning)
@@ -189,7 +195,7 @@
 			n = &unit{runners: []string{name}}
 			out["runner "+name] = n
 		}
-		n.away = n.away || r.away()
+		n.away = n.away || r.away() && !plant.On(plant.DeadUncounted)
 	}
 	return out
 }
@@ -210,6 +216,9 @@
 			continue
 		}
 		rank := [3]float64{1, weight(a, p.Runners), 0}
+		if plant.On(plant.OwnOrder) {
+			rank[1] = float64(rand.Int())
+		}
 		if rank[1] == 0 {
 			rank[0] = 0
 		}
@@ -267,6 +276,9 @@
 			kinds[k]++
 		}
 	}
+	if plant.On(plant.NoBudget) {
+		return ""
+	}
 	if fleet > u.Out {
 		return fmt.Sprintf("%d machines would be away, %d may be", fleet, u.Out)
 	}
--- /dev/null
+++ b/internal/plant/lean.go
@@ -0,0 +1,24 @@
+//go:build lean
+
+// Package plant is left out of this build: no fault can be switched on.
+package plant
+
+// The faults' names, for those who ask.
+const (
+	NoLease       = ""
+	StaleLease    = ""
+	LateLease     = ""
+	FewWords      = ""
+	NoBudget      = ""
+	DeadUncounted = ""
+	OwnOrder      = ""
+	ActsTwice     = ""
+	AppliesTwice  = ""
+	SeesAnyway    = ""
+	NeverClear    = ""
+	SilentAnswer  = ""
+	IgnoresBusy   = ""
+)
+
+// On tells whether a fault is switched on: none ever is.
+func On(string) bool { return false }
--- /dev/null
+++ b/internal/plant/plant.go
@@ -0,0 +1,35 @@
+//go:build !lean
+
+// Package plant switches faults on in the program itself, to prove that the lab's judge of a group sees them. Nothing but the
+// lab's own command sets one; a lean build has none of it.
+package plant
+
+// The faults, by name. What each breaks stands where it is asked for.
+const (
+	NoLease       = "no-lease"       // sends go out without a look at the lease
+	StaleLease    = "stale-lease"    // the lease is looked at now and then, not at the send
+	LateLease     = "late-lease"     // a lease counts from its answer, and twice as long
+	FewWords      = "few-words"      // a machine is clear by the leader's own word
+	NoBudget      = "no-budget"      // the core does not count what is away
+	DeadUncounted = "dead-uncounted" // what is away by itself does not count
+	OwnOrder      = "own-order"      // each member chooses the next machine by its own lights
+	ActsTwice     = "acts-twice"     // a call that comes again acts again
+	AppliesTwice  = "applies-twice"  // an entry that a snapshot covers is applied again
+	SeesAnyway    = "sees-anyway"    // a member that starts with an empty disk sends before it has heard of the group
+	NeverClear    = "never-clear"    // a lost member is waited for for ever
+	SilentAnswer  = "silent-answer"  // staff hear yes before it is settled
+	IgnoresBusy   = "ignores-busy"   // what runs at a machine does not keep it from being clear
+)
+
+// Names are all faults.
+var Names = []string{
+	NeverClear, SilentAnswer, IgnoresBusy,
+}
+
+var on string
+
+// Set switches one fault on, before anything is started; empty: none.
+func Set(name string) { on = name }
+
+// On tells whether a fault is switched on.
+func On(name string) bool { return on == name }
--- a/internal/store/guard.go
+++ b/internal/store/guard.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"birchfork/internal/plant"
 	"birchfork/rules"
 )
 
@@ -66,6 +67,12 @@
 
 // mayLease tells whether the lease lets us send to a worker at this moment. The lock is held.
 func (s *Store) mayLease(w *workerView) bool {
+	if plant.On(plant.NoLease) {
+		return true
+	}
+	if plant.On(plant.StaleLease) {
+		return !w.leased && !s.blind || s.staleLease
+	}
 	return !w.leased && !s.blind || time.Now().Before(s.leaseUntil)
 }
 
@@ -76,6 +83,7 @@
 		return
 	}
 	s.barred = false
+	s.staleLease = time.Now().Before(s.leaseUntil)
 	for i := range s.workers {
 		w, id := &s.workers[i], rules.WorkerID(i)
 		switch may := s.mayLease(w); {
@@ -109,6 +117,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	if plant.On(plant.IgnoresBusy) {
+		return nil
+	}
 	for id := range s.workers {
 		w := &s.workers[id]
 		if (w.leased || w.out&byPlan != 0) && (w.flying > 0 || now.Before(w.mayRun)) {
