Catch twelve planted faults of a group by name, and join again after a cut

Found by a member that came back without a disk while it was cut off: messages to its earlier life were still sent to its name, refused there, and each refusal counted as a peer that cannot be reached and emptied the queue; it had its place 6 s late.

--- a/cmd/birchfork/outage.go
+++ b/cmd/birchfork/outage.go
@@ -110,11 +110,14 @@
 	return g.command(out, outage.Command{Kind: outage.Retire, Name: g.Name})
 }
 
-type groupStatus struct{ members }
+type groupStatus struct {
+	members
+	Local bool `help:"What the member that is asked knows by itself, without asking the leader."`
+}
 
 // Run prints how the group stands.
 func (g *groupStatus) Run(out output) error {
-	r, err := g.ask(council.Call{Status: true})
+	r, err := g.ask(council.Call{Status: true, Local: g.Local})
 	if err != nil {
 		return err
 	}
--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -12,6 +12,7 @@
 	"math/big"
 	randv2 "math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -366,6 +367,9 @@
 		if m.ID == id {
 			return m.Name
 		}
+		if slices.ContainsFunc(m.Old, func(l outage.Life) bool { return l.ID == id }) {
+			return "" // nobody listens under that id any more
+		}
 	}
 	return c.heardOf[id] // we may be too new to have the state
 }
@@ -418,7 +422,7 @@
 	}
 	guard := store.Guard{Away: c.state.Away(), Leased: c.state.Leased()}
 	c.mu.Unlock()
-	if len(events) > 0 {
+	if len(events) > 0 && !c.forgets() {
 		c.o.Dispatcher.Guard(guard)
 	}
 	for _, e := range events {
@@ -458,11 +462,23 @@
 	c.state, c.at = s, time.Now()
 	guard := store.Guard{Away: s.Away(), Leased: s.Leased()}
 	c.mu.Unlock()
-	c.o.Dispatcher.Guard(guard)
+	if !c.forgets() {
+		c.o.Dispatcher.Guard(guard)
+	}
 	c.wake()
 	return nil
 }
 
+// forgets tells whether a planted fault passes over what is settled already at the start.
+func (c *Council) forgets() bool {
+	if !plant.On(plant.ForgetsOut) {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.voice == nil || time.Since(c.voice.began) < 2*time.Second
+}
+
 // send carries one of raft's messages.
 func (c *Council) send(to uint64, raw []byte, _ bool) {
 	name := c.name(to)
--- a/internal/council/member.go
+++ b/internal/council/member.go
@@ -252,8 +252,8 @@
 	if err := c.inForce(ctx, g.Index); err != nil {
 		return err
 	}
-	if plant.On(plant.LateLease) {
-		began = time.Now().Add(c.o.Group.Lease)
+	if plant.On(plant.LongLease) {
+		began = began.Add(time.Minute)
 	}
 	c.o.Dispatcher.Lease(began.Add(c.o.Group.Lease))
 	c.o.Dispatcher.Blind(false)
--- a/internal/council/staff.go
+++ b/internal/council/staff.go
@@ -23,6 +23,7 @@
 	Check   bool            `json:"check,omitempty"`  // only look whether a plan could be handed in
 	Found   bool            `json:"found,omitempty"`  // begin the group here
 	Status  bool            `json:"status,omitempty"` // tell how things stand
+	Local   bool            `json:"local,omitempty"`  // ... by what this member knows
 }
 
 // Reply is the answer to a Call.
@@ -91,6 +92,11 @@
 	if call.Found {
 		return json.Marshal(c.found(ctx))
 	}
+	if call.Status && call.Local {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return json.Marshal(Reply{Status: c.status(false)})
+	}
 	ctx, cancel := context.WithTimeout(ctx, settleWait)
 	defer cancel()
 	out, err := c.askLeader(ctx, pathCall, body)
@@ -145,7 +151,7 @@
 	if cmd.ID == "" {
 		return &Reply{Code: outage.Wrong, Text: "a call without an id"}
 	}
-	if was, ok := c.state.Answer(cmd.ID); ok {
+	if was, ok := c.state.Answer(cmd.ID); ok && !plant.On(plant.ActsTwice) {
 		return &Reply{Code: was.Code, Text: was.Text}
 	}
 	switch cmd.Kind {
@@ -214,12 +220,13 @@
 	if err != nil {
 		return nil, err
 	}
+	if plant.On(plant.SilentAnswer) && cmd.Kind == outage.Take {
+		time.AfterFunc(time.Second, func() { a.Propose(context.Background(), raw) })
+		return json.Marshal(Reply{Text: "yes"})
+	}
 	if err := a.Propose(ctx, raw); err != nil {
 		return nil, err
 	}
-	if plant.On(plant.SilentAnswer) {
-		return json.Marshal(Reply{Text: "yes"})
-	}
 	var was outage.Answer
 	err = c.until(ctx, func(s *outage.State) (ok bool) {
 		was, ok = s.Answer(cmd.ID)
--- a/internal/lab/groups/judge.go
+++ b/internal/lab/groups/judge.go
@@ -8,6 +8,7 @@
 
 	"birchfork/internal/lab"
 	"birchfork/internal/lab/judge"
+	"birchfork/internal/outage"
 )
 
 // The rules of a group, beside the four.
@@ -26,8 +27,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	out := clearBreaches(s.Ledger().Attempts(), g.works)
-	out = append(out, budgetBreaches(g.works, g.o.Out, s.Day().Scenario.Terms.WarmWithin)...)
+	out = append(out, budgetBreaches(g.works, g.downs, g.o.Out, s.Day().Scenario.Terms.WarmWithin)...)
 	out = append(out, orderBreaches(g.seen)...)
+	out = append(out, undoneBreaches(g.seen, g.works)...)
 	if g.o.Machines > 0 && g.result.Ended == 0 {
 		out = append(out, judge.Breach{Rule: GoesOnRule, Kind: "not through", At: s.Ledger().Now(), Who: -1, Lines: []string{g.result.Last}})
 	}
@@ -63,8 +65,13 @@
 	return out
 }
 
-// budgetBreaches are moments at which staff had, or had just given back, more machines than may be away.
-func budgetBreaches(works []Work, most int, warm time.Duration) (out []judge.Breach) {
+// known is how long a worker has to be away until the group has to know it: the list's way to the members, and theirs to the
+// leader. A machine that is told to be clear was taken before: so much earlier its choice may have been.
+const known = 5 * time.Second
+
+// budgetBreaches are moments at which staff got one more machine than may be away: with those that they had, those given back
+// that were not warm yet, and those that had long been away by themselves.
+func budgetBreaches(works []Work, downs []down, most int, warm time.Duration) (out []judge.Breach) {
 	for _, w := range works {
 		away := 0
 		for _, o := range works {
@@ -72,6 +79,11 @@
 				away++
 			}
 		}
+		for _, d := range downs {
+			if d.from+known <= w.Told && (d.until == 0 || d.until > w.Told) {
+				away++
+			}
+		}
 		if away > most {
 			out = append(out, judge.Breach{Rule: BudgetRule, Kind: "over", At: w.Told, Who: -1, Lines: []string{
 				fmt.Sprintf("%d machines away when %s was told to be clear, %d may be", away, w.Machine, most)}})
@@ -112,3 +124,24 @@
 	}
 	return out
 }
+
+// undoneBreaches are settled answers that do not know what staff were told before they were asked for.
+func undoneBreaches(all []seen, works []Work) (out []judge.Breach) {
+	for _, s := range all {
+		for _, w := range works {
+			if !s.status.Settled || s.asked < w.Told {
+				continue
+			}
+			for _, p := range s.status.Plans {
+				for _, m := range p.Machines {
+					if m.Name == w.Machine && (m.Step == outage.Waiting || m.Step == outage.Leaving || m.Step == outage.Clear) {
+						return []judge.Breach{{Rule: OrderRule, Kind: "undone", At: s.came, Who: -1, Lines: []string{
+							fmt.Sprintf("%s was told to be clear at %.3fs; an answer asked for at %.3fs has it as %s", w.Machine,
+								w.Told.Seconds(), s.asked.Seconds(), m.Step)}}}
+					}
+				}
+			}
+		}
+	}
+	return nil
+}
--- a/internal/outage/outage.go
+++ b/internal/outage/outage.go
@@ -241,7 +241,7 @@
 
 // Apply carries out one settled entry. What it cannot read changes nothing: a newer build's entry, at an older one.
 func (s *State) Apply(index uint64, raw []byte) (events []Event) {
-	if index <= s.Index && !plant.On(plant.AppliesTwice) { // in the snapshot already
+	if index <= s.Index { // in the snapshot already
 		return nil
 	}
 	s.Index = index
--- a/internal/store/guard.go
+++ b/internal/store/guard.go
@@ -70,9 +70,6 @@
 	if plant.On(plant.NoLease) {
 		return true
 	}
-	if plant.On(plant.StaleLease) {
-		return !w.leased && !s.blind || s.staleLease
-	}
 	return !w.leased && !s.blind || time.Now().Before(s.leaseUntil)
 }
 
@@ -83,7 +80,6 @@
 		return
 	}
 	s.barred = false
-	s.staleLease = time.Now().Before(s.leaseUntil)
 	for i := range s.workers {
 		w, id := &s.workers[i], rules.WorkerID(i)
 		switch may := s.mayLease(w); {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -67,7 +67,6 @@
 	leased     []rules.WorkerID // workers of plans under way
 	away       []rules.WorkerID // ... and those that are taken out
 	leaseUntil time.Time        // of the group's lease
-	staleLease bool             // for a planted fault alone
 	blind      bool             // nothing is sent anywhere without the lease
 	barred     bool             // some worker is left out for want of the lease
 
