--- a/internal/group/links.go
+++ b/internal/group/links.go
@@ -96,6 +96,8 @@
 	quit   context.CancelFunc
 	posts  sync.WaitGroup
 
+	closing sync.Once
+
 	mu     sync.Mutex
 	queues map[string]*queue
 }
@@ -314,11 +316,13 @@
 
 // Close ends the links, with what waits.
 func (l *Links) Close() {
-	l.quit()
-	if l.server != nil {
-		l.server.Close()
-		<-l.done
-	}
-	l.posts.Wait()
-	l.client.CloseIdleConnections()
+	l.closing.Do(func() {
+		l.quit()
+		if l.server != nil {
+			l.server.Close()
+			<-l.done
+		}
+		l.posts.Wait()
+		l.client.CloseIdleConnections()
+	})
 }
