--- /dev/null
+++ b/internal/config/group_test.go
@@ -0,0 +1,61 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+const goodGroup = `
+[group]
+name = "valdora"
+plans = true
+folder = "/var/lib/birchfork"
+[[group.member]]
+name = "d0"
+link = "10.0.0.1:9700"
+voter = true
+[[group.member]]
+name = "d1"
+link = "10.0.0.2:9700"
+voter = true
+[[group.member]]
+name = "d2"
+link = "10.0.0.3:9700"
+voter = true
+`
+
+// Every fault of [group] at once, each by its key; a good one as it says, and none where there is none.
+func TestGroup(t *testing.T) {
+	p := platform()
+	p.Name = "d1"
+	plan, err := Decode("f", []byte(goodGroup), p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if g := plan.Group; g.Name != "valdora" || !g.Plans || g.Lease != defaultLease || len(g.Peers) != 3 || g.Peers[2].Link != "10.0.0.3:9700" || !g.Peers[2].Voter {
+		t.Errorf("%+v", g)
+	}
+	if plan, err = Decode("f", nil, p); err != nil || plan.Group != nil {
+		t.Errorf("%+v, %v", plan.Group, err)
+	}
+	p.Name = "stranger"
+	bad := strings.NewReplacer(`"valdora"`, `""`, `"/var/lib`, `"var/lib`, `"d2"`, `"d1"`, `"10.0.0.3:9700"`, `"10.0.0.1:9700"`,
+		"plans = true", fmt.Sprintf("plans = true\nlease = %q", 90*time.Minute)).Replace(goodGroup) + `
+[[group.member]]
+name = ""
+link = "nowhere"
+voter = true
+`
+	_, err = Decode("f", []byte(bad), p)
+	for _, want := range []string{
+		"group.name: it is missing", "group.lease: 1h30m0s", "group.folder:", `group.member[2].name: "d1" is member[1] already`,
+		`group.member[2].link: "10.0.0.1:9700" is that of member[0] already`, "group.member[3].name: it is missing",
+		`group.member[3].link: "nowhere" is not host:port`, `"stranger", which is this dispatcher`, "4 have voter = true",
+	} {
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q is not in: %v", want, err)
+		}
+	}
+}
--- a/internal/lab/groups/groups.go
+++ b/internal/lab/groups/groups.go
@@ -83,7 +83,9 @@
 	Last    string        // what was last seen of the plan
 	Calls   int           // of staff
 	Unclear int           // ... that had no settled answer in time
-	Bytes   int64         // over all links
+	Bytes   int64         // over all links, with their headers
+	First   time.Duration // from the plan's running until staff had a machine
+	Silence time.Duration // the longest time without a settled answer
 	Faults  []Fault
 }
 
@@ -152,6 +154,20 @@
 		k.mu.Unlock()
 	}
 	g.result.Report, g.result.Works = rep, g.works
+	if len(g.works) > 0 {
+		g.result.First = g.works[0].Told - g.result.Origin
+	}
+	var last time.Duration
+	slices.SortFunc(g.seen, func(a, b seen) int { return int(a.came - b.came) })
+	for _, s := range g.seen {
+		if !s.status.Settled {
+			continue
+		}
+		if last > 0 {
+			g.result.Silence = max(g.result.Silence, s.came-last)
+		}
+		last = s.came
+	}
 	return g.result, nil
 }
 
--- a/internal/lab/groups/result.go
+++ b/internal/lab/groups/result.go
@@ -58,8 +58,9 @@
 	if len(broken) > 0 {
 		verdict = "BROKEN " + strings.Join(broken, ", ")
 	}
-	return fmt.Sprintf("seed %d: %s; %d machines, plan through %.1f s after it ran, %d calls (%d without an answer), goodput %.3f; %s",
-		seed, verdict, len(r.Works), max(r.Ended-r.Origin, 0).Seconds(), r.Calls, r.Unclear, r.Report.Goodput, r.story())
+	return fmt.Sprintf("seed %d: %s; %d machines, first one after %.1f s, plan through after %.1f s, %.1f s without a settled answer, %d calls (%d open), goodput %.3f, %.0f kB, %.1f MB; %s",
+		seed, verdict, len(r.Works), r.First.Seconds(), max(r.Ended-r.Origin, 0).Seconds(), r.Silence.Seconds(), r.Calls, r.Unclear,
+		r.Report.Goodput, float64(r.Bytes)/1000, r.Report.RSSPeakMB, r.story())
 }
 
 // story is the faults in their order.
@@ -99,19 +100,21 @@
 // Sum sums runs up.
 type Sum struct {
 	Runs, Broken, Machines int
-	took                   *hdrhistogram.Histogram
+	took, silence          *hdrhistogram.Histogram // milliseconds
 }
 
 // Add adds a run.
 func (s *Sum) Add(r *Result) {
 	if s.took == nil {
 		s.took = hdrhistogram.New(1, int64(time.Hour/time.Millisecond), 3)
+		s.silence = hdrhistogram.New(1, int64(time.Hour/time.Millisecond), 3)
 	}
 	s.Runs++
 	s.Machines += len(r.Works)
 	if len(r.broken()) > 0 {
 		s.Broken++
 	}
+	s.silence.RecordValue(r.Silence.Milliseconds())
 	if r.Ended > r.Origin {
 		s.took.RecordValue((r.Ended - r.Origin).Milliseconds())
 	}
@@ -122,6 +125,9 @@
 	if s.took == nil {
 		return "no run"
 	}
-	return fmt.Sprintf("%d runs, %d with a broken rule or a crash; %d machines worked on; %d plans through, median %.1f s, worst %.1f s",
-		s.Runs, s.Broken, s.Machines, s.took.TotalCount(), float64(s.took.ValueAtQuantile(50))/1000, float64(s.took.Max())/1000)
+	seconds := func(ms int64) float64 { return float64(ms) / 1000 }
+	return fmt.Sprintf("%d runs, %d with a broken rule or a crash; %d machines worked on; %d plans through, median %.1f s, worst %.1f s; "+
+		"longest time without a settled answer: median %.1f s, worst %.1f s",
+		s.Runs, s.Broken, s.Machines, s.took.TotalCount(), seconds(s.took.ValueAtQuantile(50)), seconds(s.took.Max()),
+		seconds(s.silence.ValueAtQuantile(50)), seconds(s.silence.Max()))
 }
--- a/internal/node/group.go
+++ b/internal/node/group.go
@@ -1,10 +1,14 @@
 package node
 
 import (
+	"fmt"
+	"net"
+	"slices"
 	"time"
 
 	"birchfork/internal/config"
 	"birchfork/internal/council"
+	"birchfork/internal/group"
 )
 
 // connectSpare is for a connection to come up where the settings do not say how long that may take.
@@ -31,11 +35,20 @@
 	return longest + connect
 }
 
-// takePart takes part in the group, if there is one.
-func (n *node) takePart() {
+// takePart takes part in the group, if there is one. Its address has to be free, unless another process of this dispatcher
+// may have it.
+func (n *node) takePart() error {
 	g := n.config.group()
 	if g == nil {
-		return
+		return nil
+	}
+	if n.beside.Load() == 0 {
+		i := slices.IndexFunc(g.Peers, func(p group.Peer) bool { return p.Name == n.config.Name })
+		l, err := net.Listen("tcp", g.Peers[i].Link)
+		if err != nil {
+			return fmt.Errorf("group.member[%d].link: %w", i, err)
+		}
+		l.Close()
 	}
 	n.council = council.Start(council.Options{
 		Group: g, Self: n.config.Name, Dispatcher: n.store, Attempt: n.config.attempt(),
@@ -45,6 +58,7 @@
 			return o.Alive, o.Newer
 		},
 	})
+	return nil
 }
 
 // leaveGroup ends our part.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -148,7 +148,12 @@
 	}
 	n.pool = store.NewPool(dialer(c.Settings), &n.store.Counters, 0, idleLife(c.Settings))
 	n.store.OnNews(func(w store.WorkerNews) { n.pool.Drop(w.Address) })
-	n.takePart() // before any list: where plans are in use nothing is sent before the group is heard of
+	// Before any list: where plans are in use nothing is sent before the group is heard of.
+	if err := n.takePart(); err != nil {
+		n.store.Close()
+		n.process.Close()
+		return nil, err
+	}
 	known := n.known()
 	n.exchange() // who is out, before any list
 	if len(known.Entries) > 0 {
