Play the cores of a group in virtual time, and trust a disk only once the group has spoken to its life

Simulated: raft with its disk, plans and lease, links that lose and hold, stops, kills, lost disks, drifting clocks; one seed, one history. A disk now notes that its life has had a word of the group. agree is split into a core and the loop round it. The bound on a silent member has the drift on the attempt too.

--- a/internal/agree/agree.go
+++ b/internal/agree/agree.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -14,9 +13,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"go.etcd.io/raft/v3"
 	"go.etcd.io/raft/v3/raftpb"
-	"go.etcd.io/raft/v3/tracker"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -69,102 +66,62 @@
 // Agree runs one member's part until Close.
 type Agree struct {
 	o      Options
-	calls  chan func(*raft.RawNode)
+	calls  chan func(*Core)
 	in     chan *raftpb.Message
 	quit   chan struct{}
 	done   chan struct{}
 	status atomic.Pointer[Status]
-
-	// The loop's own.
-	conf    *raftpb.ConfState
-	applied uint64
-	cutAt   uint64
-	reads   []*read // that wait for a confirmation
-	asked   uint64  // the number of the read that raft was asked for last; 0: none is out
-	askedAt int     // ticks ago
-	number  uint64
-}
-
-type read struct {
-	after uint64 // confirmed by a read of this number or a later one
-	done  chan result
-}
-
-type result struct {
-	index uint64
-	err   error
 }
 
 // Start runs a member's part. Where its disk is empty it waits to be taken into the group.
 func Start(o Options) (*Agree, error) {
-	_, conf, err := o.Disk.cache.InitialState()
+	c, err := NewCore(o, rand.Uint64())
 	if err != nil {
 		return nil, err
 	}
 	a := &Agree{
-		o: o, calls: make(chan func(*raft.RawNode), 64), in: make(chan *raftpb.Message, messagesMost), quit: make(chan struct{}),
-		done: make(chan struct{}), conf: conf, number: rand.Uint64() >> 1,
-	}
-	snap, err := o.Disk.cache.Snapshot()
-	if err != nil {
-		return nil, err
-	}
-	if !raft.IsEmptySnap(snap) {
-		if err := o.Machine.Restore(snap.GetData()); err != nil {
-			return nil, fmt.Errorf("the snapshot: %w", err)
-		}
-		a.applied = snap.GetMetadata().GetIndex()
-		a.cutAt = a.applied
-	}
-	a.status.Store(&Status{Applied: a.applied})
-	rn, err := raft.NewRawNode(&raft.Config{
-		ID: o.Disk.who.ID, ElectionTick: election, HeartbeatTick: heartbeat, Storage: storage{o.Disk.cache, a}, Applied: a.applied,
-		MaxSizePerMsg: bytesMost, MaxCommittedSizePerReady: bytesMost, MaxUncommittedEntriesSize: uncommitted, MaxInflightMsgs: 64,
-		CheckQuorum: true, PreVote: true, ReadOnlyOption: raft.ReadOnlySafe, DisableProposalForwarding: true, StepDownOnRemoval: true,
-		Logger: quiet{o.Log},
-	})
-	if err != nil {
-		return nil, err
+		o: o, calls: make(chan func(*Core), 64), in: make(chan *raftpb.Message, messagesMost), quit: make(chan struct{}),
+		done: make(chan struct{}),
 	}
-	go a.loop(rn)
+	a.tell(c)
+	go a.loop(c)
 	return a, nil
 }
 
 // Found begins a group on an empty disk; data is the state to begin with.
 func Found(d *Disk, founded string, data []byte) error { return d.found(founded, data) }
 
-func (a *Agree) loop(rn *raft.RawNode) {
+func (a *Agree) loop(c *Core) {
 	defer close(a.done)
-	defer func() {
-		for _, r := range a.reads {
-			r.done <- result{err: ErrStopped}
-		}
-	}()
 	defer a.guard()
 	debug.SetPanicOnFault(true) // of the disk's mapped file: see Disk.open
 	t := time.NewTicker(tickEvery)
 	defer t.Stop()
-	a.work(rn) // what the disk has settled already
+	c.settle() // what the disk has settled already
 	for {
+		a.tell(c)
 		select {
 		case <-a.quit:
 			return
 		case <-t.C:
-			rn.Tick()
-			a.askedAt++
+			c.Tick(false)
 		case m := <-a.in:
-			a.step(rn, m)
+			all := []*raftpb.Message{m}
 			for range len(a.in) {
-				a.step(rn, <-a.in)
+				all = append(all, <-a.in)
 			}
+			c.Step(all...)
 		case f := <-a.calls:
-			f(rn)
+			f(c)
 		}
-		a.ask(rn)
-		a.work(rn)
 	}
 }
 
+func (a *Agree) tell(c *Core) {
+	s := c.Status()
+	a.status.Store(&s)
+}
+
 // guard ends this member's part, and no more, where its disk fails or raft finds something that cannot be.
 func (a *Agree) guard() {
 	v := recover()
@@ -177,155 +134,6 @@
 	a.o.Log.WithField("cause", s.Failed).Error("this member takes no part in the group's agreement any more; it serves on")
 }
 
-func (a *Agree) step(rn *raft.RawNode, m *raftpb.Message) {
-	if err := rn.Step(m); err != nil {
-		a.o.Log.WithError(err).Debug("a message of the group's was passed over")
-	}
-}
-
-// ask has the reads that wait confirmed, one round for all.
-func (a *Agree) ask(rn *raft.RawNode) {
-	if a.asked != 0 && a.askedAt < readAgain || len(a.reads) == 0 {
-		return
-	}
-	a.number++
-	a.asked, a.askedAt = a.number, 0
-	rn.ReadIndex(binary.BigEndian.AppendUint64(nil, a.number))
-}
-
-// work carries out what raft wants done, in its order: kept and synced, then sent, then applied.
-func (a *Agree) work(rn *raft.RawNode) {
-	for rn.HasReady() {
-		rd := rn.Ready()
-		if err := a.o.Disk.save(rd.HardState, rd.Entries, rd.Snapshot); err != nil {
-			panic(err) // nothing that rests on it may leave; see guard
-		}
-		for _, m := range rd.Messages {
-			a.send(rn, m)
-		}
-		if !raft.IsEmptySnap(rd.Snapshot) {
-			if err := a.o.Machine.Restore(rd.Snapshot.GetData()); err != nil {
-				panic(err)
-			}
-			a.conf, a.applied = rd.Snapshot.GetMetadata().GetConfState(), rd.Snapshot.GetMetadata().GetIndex()
-			a.cutAt = a.applied
-		}
-		for _, e := range rd.CommittedEntries {
-			a.apply(rn, e)
-		}
-		for _, s := range rd.ReadStates {
-			a.confirmed(s)
-		}
-		rn.Advance(rd)
-	}
-	a.cut()
-	a.tell(rn)
-}
-
-func (a *Agree) send(rn *raft.RawNode, m *raftpb.Message) {
-	raw, err := proto.Marshal(m)
-	if err != nil {
-		panic(err)
-	}
-	snap := m.GetType() == raftpb.MsgSnap
-	a.o.Send(m.GetTo(), raw, snap)
-	if snap {
-		rn.ReportSnapshot(m.GetTo(), raft.SnapshotFinish) // one that is lost shows by what the member says next
-	}
-}
-
-func (a *Agree) apply(rn *raft.RawNode, e *raftpb.Entry) {
-	data := e.GetData()
-	switch e.GetType() {
-	case raftpb.EntryConfChange:
-		var cc raftpb.ConfChange
-		if err := proto.Unmarshal(data, &cc); err != nil {
-			panic(err)
-		}
-		a.conf, data = rn.ApplyConfChange(&cc), cc.GetContext()
-	case raftpb.EntryConfChangeV2:
-		var cc raftpb.ConfChangeV2
-		if err := proto.Unmarshal(data, &cc); err != nil {
-			panic(err)
-		}
-		a.conf, data = rn.ApplyConfChange(&cc), cc.GetContext()
-	}
-	if len(data) > 0 {
-		a.o.Machine.Apply(e.GetIndex(), data)
-	}
-	a.applied = e.GetIndex()
-}
-
-// confirmed ends the reads that one round of raft's confirms.
-func (a *Agree) confirmed(s raft.ReadState) {
-	n := binary.BigEndian.Uint64(s.RequestCtx)
-	if n == a.asked {
-		a.asked = 0
-	}
-	left := a.reads[:0]
-	for _, r := range a.reads {
-		if r.after <= n {
-			r.done <- result{index: s.Index}
-		} else {
-			left = append(left, r)
-		}
-	}
-	a.reads = left
-}
-
-// cut keeps the log short.
-func (a *Agree) cut() {
-	if a.applied-a.cutAt < snapshotAfter {
-		return
-	}
-	if err := a.snapshot(); err != nil {
-		panic(err)
-	}
-	if err := a.o.Disk.compact(a.applied - kept); err != nil {
-		panic(err)
-	}
-}
-
-// snapshot keeps all that is settled, with who is in the group now.
-func (a *Agree) snapshot() error {
-	if a.cutAt == a.applied {
-		return nil
-	}
-	data, err := a.o.Machine.Snapshot()
-	if err != nil {
-		return err
-	}
-	if err := a.o.Disk.snapshot(a.applied, a.conf, data); err != nil {
-		return err
-	}
-	a.cutAt = a.applied
-	return nil
-}
-
-// storage is what raft reads. A snapshot for a follower is made when it is asked for: one from before the follower came would
-// not have it in.
-type storage struct {
-	*raft.MemoryStorage
-	a *Agree
-}
-
-// Snapshot makes a snapshot of the present; the loop's goroutine asks for it.
-func (s storage) Snapshot() (*raftpb.Snapshot, error) {
-	if err := s.a.snapshot(); err != nil {
-		s.a.o.Log.WithError(err).Error("no snapshot can be made for a member that is behind")
-		return nil, raft.ErrSnapshotTemporarilyUnavailable
-	}
-	return s.MemoryStorage.Snapshot()
-}
-
-func (a *Agree) tell(rn *raft.RawNode) {
-	b := rn.BasicStatus()
-	a.status.Store(&Status{
-		Leader: b.Lead, Leads: b.RaftState == raft.StateLeader, Term: b.GetTerm(), Applied: a.applied,
-		Voters: a.conf.GetVoters(), Follow: a.conf.GetLearners(),
-	})
-}
-
 // Status is how things stand, as the loop saw it last.
 func (a *Agree) Status() Status { return *a.status.Load() }
 
@@ -369,7 +177,7 @@
 }
 
 // do has the loop call f.
-func (a *Agree) do(ctx context.Context, f func(*raft.RawNode)) error {
+func (a *Agree) do(ctx context.Context, f func(*Core)) error {
 	select {
 	case a.calls <- f:
 		return nil
@@ -380,95 +188,71 @@
 	}
 }
 
+// await has the loop call f and waits for what f sends.
+func await[T any](ctx context.Context, a *Agree, f func(*Core, chan<- T)) (v T, err error) {
+	done := make(chan T, 1)
+	if err := a.do(ctx, func(c *Core) { f(c, done) }); err != nil {
+		return v, err
+	}
+	select {
+	case v = <-done:
+		return v, nil
+	case <-a.done:
+		return v, ErrStopped
+	case <-ctx.Done():
+		return v, ctx.Err()
+	}
+}
+
 // Propose offers an entry, at the leader. That it is settled shows at the state machine, or never: it may be settled though
 // an error is returned later.
 func (a *Agree) Propose(ctx context.Context, data []byte) error {
-	return a.propose(ctx, func(rn *raft.RawNode) error { return rn.Propose(data) })
+	said, err := await(ctx, a, func(c *Core, done chan<- error) { done <- c.Propose(data) })
+	return errors.Join(said, err)
 }
 
 // Change offers a change of who is in the group, with an entry for the state machine.
 func (a *Agree) Change(ctx context.Context, changes []*raftpb.ConfChangeSingle, data []byte) error {
-	auto := raftpb.ConfChangeTransitionAuto
-	return a.propose(ctx, func(rn *raft.RawNode) error {
-		return rn.ProposeConfChange(&raftpb.ConfChangeV2{Transition: &auto, Changes: changes, Context: data})
-	})
-}
-
-func (a *Agree) propose(ctx context.Context, f func(*raft.RawNode) error) error {
-	done := make(chan error, 1)
-	if err := a.do(ctx, func(rn *raft.RawNode) { done <- f(rn) }); err != nil {
-		return err
-	}
-	select {
-	case err := <-done:
-		if errors.Is(err, raft.ErrProposalDropped) {
-			return ErrNoLeader
-		}
-		return err
-	case <-a.done:
-		return ErrStopped
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	said, err := await(ctx, a, func(c *Core, done chan<- error) { done <- c.Change(changes, data) })
+	return errors.Join(said, err)
 }
 
-// Read returns an index such that all that was settled before the call is at or below it: a quorum has confirmed, since the
-// call, that this member leads, or its leader does.
+// Read returns an index such that all that was settled before the call is at or below it: see Core.Read.
 func (a *Agree) Read(ctx context.Context) (uint64, error) {
-	done := make(chan result, 1)
-	err := a.do(ctx, func(*raft.RawNode) {
-		if len(a.reads) >= messagesMost {
-			done <- result{err: ErrBusy}
-			return
-		}
-		// The one that is out was asked for before us.
-		a.reads = append(a.reads, &read{after: a.number + 1, done: done})
-	})
-	if err != nil {
-		return 0, err
-	}
-	select {
-	case r := <-done:
-		return r.index, r.err
-	case <-a.done:
-		return 0, ErrStopped
-	case <-ctx.Done():
-		return 0, ctx.Err()
+	type result struct {
+		index uint64
+		err   error
 	}
+	r, err := await(ctx, a, func(c *Core, done chan<- result) {
+		c.Read(func(index uint64, err error) { done <- result{index, err} })
+	})
+	return r.index, errors.Join(r.err, err)
 }
 
 // Caught returns those followers that have nearly all that is settled and were heard of lately; nil where we do not lead.
-func (a *Agree) Caught(ctx context.Context) (ids []uint64) {
-	done := make(chan struct{})
-	err := a.do(ctx, func(rn *raft.RawNode) {
-		defer close(done)
-		if rn.BasicStatus().RaftState != raft.StateLeader {
-			return
-		}
-		rn.WithProgress(func(id uint64, _ raft.ProgressType, p tracker.Progress) {
-			if p.RecentActive && p.Match > 0 && p.Match+kept >= a.applied {
-				ids = append(ids, id)
-			}
-		})
-	})
-	if err == nil {
-		select {
-		case <-done:
-		case <-a.done:
-		}
-	}
+func (a *Agree) Caught(ctx context.Context) []uint64 {
+	ids, _ := await(ctx, a, func(c *Core, done chan<- []uint64) { done <- c.Caught() })
 	return ids
 }
 
+// Hear notes on the disk that this life has had a word of the group.
+func (a *Agree) Hear(ctx context.Context) error {
+	said, err := await(ctx, a, func(c *Core, done chan<- error) { done <- c.o.Disk.Hear() })
+	return errors.Join(said, err)
+}
+
 // HandOver gives the lead to a voter, if we have it.
 func (a *Agree) HandOver(ctx context.Context, to uint64) {
-	a.do(ctx, func(rn *raft.RawNode) { rn.TransferLeader(to) })
+	a.do(ctx, func(c *Core) {
+		c.rn.TransferLeader(to)
+		c.settle()
+	})
 }
 
 // Unreachable says that messages to a member get lost.
 func (a *Agree) Unreachable(id uint64) {
 	select {
-	case a.calls <- func(rn *raft.RawNode) { rn.ReportUnreachable(id) }:
+	case a.calls <- func(c *Core) { c.rn.ReportUnreachable(id) }:
 	default:
 	}
 }
--- /dev/null
+++ b/internal/agree/core.go
@@ -0,0 +1,284 @@
+package agree
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+
+	"go.etcd.io/raft/v3"
+	"go.etcd.io/raft/v3/raftpb"
+	"go.etcd.io/raft/v3/tracker"
+	"google.golang.org/protobuf/proto"
+)
+
+// Core is one member's part without clock and goroutine: its caller ticks it, carries its messages and takes care that only
+// one call is under way at a time. It panics where its disk fails, or where raft finds something that cannot be: then it must
+// not be called any more.
+type Core struct {
+	o       Options
+	rn      *raft.RawNode
+	conf    *raftpb.ConfState
+	applied uint64
+	cutAt   uint64
+	reads   []read // that wait for a confirmation
+	asked   uint64 // the number of the read that raft was asked for last; 0: none is out
+	askedAt int    // ticks ago
+	number  uint64
+}
+
+type read struct {
+	after uint64 // confirmed by a read of this number or a later one
+	done  func(index uint64, err error)
+}
+
+// NewCore goes on from what the disk has. Where that is empty it waits to be taken into the group. seed tells its reads apart
+// from those of a process before.
+func NewCore(o Options, seed uint64) (*Core, error) {
+	_, conf, err := o.Disk.cache.InitialState()
+	if err != nil {
+		return nil, err
+	}
+	c := &Core{o: o, conf: conf, number: seed >> 1}
+	snap, err := o.Disk.cache.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	if !raft.IsEmptySnap(snap) {
+		if err := o.Machine.Restore(snap.GetData()); err != nil {
+			return nil, fmt.Errorf("the snapshot: %w", err)
+		}
+		c.applied = snap.GetMetadata().GetIndex()
+		c.cutAt = c.applied
+	}
+	c.rn, err = raft.NewRawNode(&raft.Config{
+		ID: o.Disk.who.ID, ElectionTick: election, HeartbeatTick: heartbeat, Storage: storage{o.Disk.cache, c}, Applied: c.applied,
+		MaxSizePerMsg: bytesMost, MaxCommittedSizePerReady: bytesMost, MaxUncommittedEntriesSize: uncommitted, MaxInflightMsgs: 64,
+		CheckQuorum: true, PreVote: true, ReadOnlyOption: raft.ReadOnlySafe, DisableProposalForwarding: true, StepDownOnRemoval: true,
+		Logger: quiet{o.Log},
+	})
+	return c, err
+}
+
+// Tick lets one tick go by. Where the caller drives elections, a member that does not lead campaigns at Campaign alone.
+func (c *Core) Tick(byHand bool) {
+	c.askedAt++
+	if byHand && c.rn.BasicStatus().RaftState != raft.StateLeader {
+		c.rn.TickQuiesced()
+	} else {
+		c.rn.Tick()
+	}
+	c.settle()
+}
+
+// Campaign asks for votes.
+func (c *Core) Campaign() {
+	if err := c.rn.Campaign(); err != nil {
+		c.o.Log.WithError(err).Debug("no campaign")
+	}
+	c.settle()
+}
+
+// Step takes messages of other members, all with one synced write.
+func (c *Core) Step(all ...*raftpb.Message) {
+	for _, m := range all {
+		if err := c.rn.Step(m); err != nil {
+			c.o.Log.WithError(err).Debug("a message of the group's was passed over")
+		}
+	}
+	c.settle()
+}
+
+// Propose offers an entry, at the leader.
+func (c *Core) Propose(data []byte) error {
+	defer c.settle()
+	return dropped(c.rn.Propose(data))
+}
+
+// Change offers a change of who is in the group, with an entry for the state machine.
+func (c *Core) Change(changes []*raftpb.ConfChangeSingle, data []byte) error {
+	defer c.settle()
+	auto := raftpb.ConfChangeTransitionAuto
+	return dropped(c.rn.ProposeConfChange(&raftpb.ConfChangeV2{Transition: &auto, Changes: changes, Context: data}))
+}
+
+func dropped(err error) error {
+	if errors.Is(err, raft.ErrProposalDropped) {
+		return ErrNoLeader
+	}
+	return err
+}
+
+// Read has done called with an index such that all that was settled before the call is at or below it: a quorum has confirmed
+// by then, since the call, that this member leads, or its leader does. It may never be called.
+func (c *Core) Read(done func(index uint64, err error)) {
+	if len(c.reads) >= messagesMost {
+		done(0, ErrBusy)
+		return
+	}
+	c.reads = append(c.reads, read{after: c.number + 1, done: done}) // the one that is out was asked for before us
+	c.settle()
+}
+
+// Caught are those followers that have nearly all that is settled and were heard of lately; nil where we do not lead.
+func (c *Core) Caught() (ids []uint64) {
+	if c.rn.BasicStatus().RaftState != raft.StateLeader {
+		return nil
+	}
+	c.rn.WithProgress(func(id uint64, _ raft.ProgressType, p tracker.Progress) {
+		if p.RecentActive && p.Match > 0 && p.Match+kept >= c.applied {
+			ids = append(ids, id)
+		}
+	})
+	return ids
+}
+
+// Status is how things stand.
+func (c *Core) Status() Status {
+	b := c.rn.BasicStatus()
+	return Status{
+		Leader: b.Lead, Leads: b.RaftState == raft.StateLeader, Term: b.GetTerm(), Applied: c.applied,
+		Voters: c.conf.GetVoters(), Follow: c.conf.GetLearners(),
+	}
+}
+
+// settle carries out what the last event brought.
+func (c *Core) settle() {
+	c.ask()
+	c.work()
+}
+
+// ask has the reads that wait confirmed, one round for all.
+func (c *Core) ask() {
+	if c.asked != 0 && c.askedAt < readAgain || len(c.reads) == 0 {
+		return
+	}
+	c.number++
+	c.asked, c.askedAt = c.number, 0
+	c.rn.ReadIndex(binary.BigEndian.AppendUint64(nil, c.number))
+}
+
+// work carries out what raft wants done, in its order: kept and synced, then sent, then applied.
+func (c *Core) work() {
+	for c.rn.HasReady() {
+		rd := c.rn.Ready()
+		if err := c.o.Disk.save(rd.HardState, rd.Entries, rd.Snapshot); err != nil {
+			panic(err) // nothing that rests on it may leave; see Agree.guard
+		}
+		for _, m := range rd.Messages {
+			c.send(m)
+		}
+		if !raft.IsEmptySnap(rd.Snapshot) {
+			if err := c.o.Machine.Restore(rd.Snapshot.GetData()); err != nil {
+				panic(err)
+			}
+			c.conf, c.applied = rd.Snapshot.GetMetadata().GetConfState(), rd.Snapshot.GetMetadata().GetIndex()
+			c.cutAt = c.applied
+		}
+		for _, e := range rd.CommittedEntries {
+			c.apply(e)
+		}
+		for _, s := range rd.ReadStates {
+			c.confirmed(s)
+		}
+		c.rn.Advance(rd)
+	}
+	c.cut()
+}
+
+func (c *Core) send(m *raftpb.Message) {
+	raw, err := proto.Marshal(m)
+	if err != nil {
+		panic(err)
+	}
+	snap := m.GetType() == raftpb.MsgSnap
+	c.o.Send(m.GetTo(), raw, snap)
+	if snap {
+		c.rn.ReportSnapshot(m.GetTo(), raft.SnapshotFinish) // one that is lost shows by what the member says next
+	}
+}
+
+func (c *Core) apply(e *raftpb.Entry) {
+	data := e.GetData()
+	switch e.GetType() {
+	case raftpb.EntryConfChange:
+		var cc raftpb.ConfChange
+		if err := proto.Unmarshal(data, &cc); err != nil {
+			panic(err)
+		}
+		c.conf, data = c.rn.ApplyConfChange(&cc), cc.GetContext()
+	case raftpb.EntryConfChangeV2:
+		var cc raftpb.ConfChangeV2
+		if err := proto.Unmarshal(data, &cc); err != nil {
+			panic(err)
+		}
+		c.conf, data = c.rn.ApplyConfChange(&cc), cc.GetContext()
+	}
+	if len(data) > 0 {
+		c.o.Machine.Apply(e.GetIndex(), data)
+	}
+	c.applied = e.GetIndex()
+}
+
+// confirmed ends the reads that one round of raft's confirms.
+func (c *Core) confirmed(s raft.ReadState) {
+	n := binary.BigEndian.Uint64(s.RequestCtx)
+	if n == c.asked {
+		c.asked = 0
+	}
+	var left []read
+	was := c.reads
+	c.reads = nil
+	for _, r := range was {
+		if r.after <= n {
+			r.done(s.Index, nil)
+		} else {
+			left = append(left, r)
+		}
+	}
+	c.reads = append(left, c.reads...)
+}
+
+// cut keeps the log short.
+func (c *Core) cut() {
+	if c.applied-c.cutAt < snapshotAfter {
+		return
+	}
+	if err := c.snapshot(); err != nil {
+		panic(err)
+	}
+	if err := c.o.Disk.compact(c.applied - kept); err != nil {
+		panic(err)
+	}
+}
+
+// snapshot keeps all that is settled, with who is in the group now.
+func (c *Core) snapshot() error {
+	if c.cutAt == c.applied {
+		return nil
+	}
+	data, err := c.o.Machine.Snapshot()
+	if err != nil {
+		return err
+	}
+	if err := c.o.Disk.snapshot(c.applied, c.conf, data); err != nil {
+		return err
+	}
+	c.cutAt = c.applied
+	return nil
+}
+
+// storage is what raft reads. A snapshot for a follower is made when it is asked for: one from before the follower came would
+// not have it in.
+type storage struct {
+	*raft.MemoryStorage
+	c *Core
+}
+
+// Snapshot makes a snapshot of the present; the loop's goroutine asks for it.
+func (s storage) Snapshot() (*raftpb.Snapshot, error) {
+	if err := s.c.snapshot(); err != nil {
+		s.c.o.Log.WithError(err).Error("no snapshot can be made for a member that is behind")
+		return nil, raft.ErrSnapshotTemporarilyUnavailable
+	}
+	return s.MemoryStorage.Snapshot()
+}
--- a/internal/agree/disk.go
+++ b/internal/agree/disk.go
@@ -26,6 +26,7 @@
 	Name    string `json:"name"`    // of the member
 	Life    string `json:"life"`    // drawn anew with each empty disk
 	ID      uint64 `json:"id"`      // raft's, of this life
+	Heard   bool   `json:"heard"`   // this life has had a word of the group: no plan has begun since that it does not know
 }
 
 // format is what this build writes; another one is refused by name.
@@ -205,6 +206,15 @@
 	return meta.Put(identKey, raw)
 }
 
+// Hear notes that this life has had a word of the group. Only the owner may call it.
+func (d *Disk) Hear() error {
+	d.who.Heard = true
+	if d.db == nil {
+		return nil
+	}
+	return d.db.Update(func(tx *bbolt.Tx) error { return d.identify(tx.Bucket(metaBucket)) })
+}
+
 // Who is whom the disk belongs to.
 func (d *Disk) Who() Identity { return d.who }
 
--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -73,6 +73,7 @@
 	at      time.Time     // since when the state has its Seq
 	changed chan struct{} // closed when something more is in force
 	words   map[string]heard
+	heard   bool                  // noted on the disk: the loop that renews has it
 	heardOf map[uint64]string     // raft ids by the messages that came
 	marks   map[string]agree.Mark // how far lives of others have come, by what they said
 	attempt time.Duration         // the longest that an attempt may run
@@ -135,7 +136,8 @@
 
 // bound is the longest that something of ours may run at a machine after an entry that we do not know of. The lock is held.
 func (c *Council) bound() time.Duration {
-	return c.o.Group.Lease + c.o.Group.Lease/driftPart + c.attempt
+	d := c.o.Group.Lease + c.attempt
+	return d + d/driftPart // whoever measures it may have the quicker clock
 }
 
 // Stretch says that attempts may run for longer from its return on. There is no lease until the group waits for as long.
@@ -188,6 +190,7 @@
 	}
 	ctx, quit := context.WithCancel(ctx)
 	defer quit()
+	c.heard = disk.Who().Heard // nobody renews yet
 	v := &voice{who: disk.Who(), began: time.Now(), founding: make(chan struct{}), strange: make(chan struct{}, 1)}
 	v.links = group.Open(group.Options{
 		Group: c.o.Group.Name, Self: c.o.Self, Peers: c.o.Group.Peers, Who: c.who, Old: c.old, Lost: c.lost, Log: c.o.Log,
@@ -269,8 +272,9 @@
 	c.mu.Lock()
 	v.agree, v.who = a, disk.Who()
 	c.mu.Unlock()
-	if disk.Kept() && !disk.Empty() {
-		// What this disk has confirmed is in force: no plan has begun without that.
+	if disk.Kept() && disk.Who().Heard {
+		// Guards against a disk that has a vote and no plan yet: what it has is not enough, it has to have been confirmed once.
+		// From then on no plan has begun that this life did not confirm.
 		c.o.Dispatcher.Blind(false)
 	}
 }
--- a/internal/council/member.go
+++ b/internal/council/member.go
@@ -273,6 +273,12 @@
 	if plant.On(plant.LongLease) {
 		began = began.Add(time.Minute)
 	}
+	if a := c.agreement(); a != nil && !c.heard {
+		if err := a.Hear(ctx); err != nil {
+			return err
+		}
+		c.heard = true
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.bound() != told.Bound { // attempts may run for longer since: that is told first
--- /dev/null
+++ b/internal/lab/histories/histories.go
@@ -0,0 +1,613 @@
+// Package histories plays a group's cores in virtual time: raft with its disk, the settled plans and the lease, with links that
+// lose and hold messages, members that stop, die, forget and come back, and clocks that drift. One seed gives one history, to
+// the byte, on any machine. It is simulated: real processes are played by internal/lab/groups.
+package histories
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"hash"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"birchfork/internal/agree"
+	"birchfork/internal/outage"
+)
+
+// Times of a history, on the world's clock.
+const (
+	tick     = 50 * time.Millisecond
+	lease    = 1 * time.Second
+	attempt  = 600 * time.Millisecond // the longest that one may run
+	renew    = 200 * time.Millisecond
+	drift    = 100 // clocks differ by one part in so many at the most
+	warm     = 400 * time.Millisecond
+	silence  = 20 // ticks: a member campaigns once to twice as long after the last word of a leader
+	machines = 6
+)
+
+// Options is what a history is drawn by.
+type Options struct {
+	Seed    uint64
+	Members int
+	Voters  int
+	Ticks   int
+	Fault   string    // planted; empty: none
+	Calm    int       // ticks from one trouble to the next, on the average; 0: 48
+	Story   io.Writer // what happens; may be nil
+}
+
+// The faults that can be planted.
+const (
+	NoLease    = "no lease at the send"
+	LongLease  = "a lease that is longer than what is waited for"
+	FromAnswer = "a lease that counts from its answer"
+	NoConfirm  = "a lease without a quorum's word"
+	Forgets    = "a voter that forgets under its old id"
+	FewWords   = "clear without a follower's word"
+	NoBudget   = "a budget that is not counted"
+	TwiceTime  = "time that counts twice"
+)
+
+// Faults are their names.
+var Faults = []string{NoLease, LongLease, FromAnswer, NoConfirm, Forgets, FewWords, NoBudget, TwiceTime}
+
+// Result is what a history came to.
+type Result struct {
+	Broken  []string // rules, with what proves them
+	Done    int      // machines that the plan was through with
+	Leaders int      // changes of the lead
+	Digest  uint64   // of all that happened
+}
+
+// world is one history.
+type world struct {
+	o       Options
+	r       *rand.Rand
+	now     time.Duration
+	members []*member
+	wire    []parcel
+	cut     map[[2]int]int // links that lose all, until this tick
+	ticks   int
+	result  *Result
+	hash    hash.Hash64
+	settled map[uint64]string        // what each entry was, as the first member applied it
+	out     map[string]time.Duration // machines that staff were told to be clear, since when
+	given   map[string]bool          // those that they gave back
+	runs    []attemptAt
+	ids     map[uint64]int
+	next    uint64
+	leader  int
+}
+
+// parcel is a message on its way.
+type parcel struct {
+	at       int // the tick that it comes at
+	from, to int
+	raft     *raftpb.Message
+	do       func() // a report or its answer, in place of raft's message
+}
+
+// attemptAt is an attempt at a machine.
+type attemptAt struct {
+	machine string
+	member  int
+	ends    time.Duration
+}
+
+// member is one member of the world.
+type member struct {
+	w       *world
+	index   int
+	id      uint64
+	life    string
+	disk    *agree.Disk
+	core    *agree.Core // nil: it is down
+	state   *outage.State
+	had     time.Duration // since when the state has its Seq, on its own clock
+	since   time.Duration // of this process
+	until   time.Duration // of the lease, on its own clock
+	speed   float64       // of its clock
+	stopped int           // stands still until this tick
+	heard   int           // the tick of a leader's last word
+	wait    int           // ticks of silence until it campaigns
+	words   map[string]outage.Word
+	asked   int // the tick of its last report
+	knows   bool
+	joined  bool
+}
+
+// Apply, Snapshot and Restore make a member the state machine of its core.
+func (m *member) Apply(index uint64, data []byte) {
+	was := m.state.Seq
+	m.state.Apply(index, data)
+	if m.state.Seq != was {
+		m.had = m.clock()
+	}
+	if first, ok := m.w.settled[index]; !ok {
+		m.w.settled[index] = string(data)
+		fmt.Fprintf(m.w.hash, "%d %s\n", index, data)
+	} else if first != string(data) {
+		m.w.broken("one order: entry %d is %s at member %d and was %s", index, data, m.index, first)
+	}
+}
+
+func (m *member) Snapshot() ([]byte, error) { return m.state.Encode() }
+
+func (m *member) Restore(data []byte) error {
+	s, err := outage.Decode(data)
+	if err == nil {
+		m.state, m.had = s, m.clock()
+	}
+	return err
+}
+
+func (w *world) broken(format string, v ...any) {
+	w.result.Broken = append(w.result.Broken, fmt.Sprintf("%.2fs ", w.now.Seconds())+fmt.Sprintf(format, v...))
+	w.tell("BROKEN "+format, v...)
+}
+
+func (w *world) tell(format string, v ...any) {
+	if w.o.Story != nil {
+		fmt.Fprintf(w.o.Story, "%7.2fs "+format+"\n", append([]any{w.now.Seconds()}, v...)...)
+	}
+}
+
+var nobody = func() *logrus.Logger {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	l.SetLevel(logrus.PanicLevel)
+	return l
+}()
+
+// Play plays one history.
+func Play(o Options) (*Result, error) {
+	w := &world{
+		o: o, r: rand.New(rand.NewPCG(o.Seed, 4711)), cut: map[[2]int]int{}, result: &Result{}, hash: xxhash.New(),
+		settled: map[uint64]string{}, out: map[string]time.Duration{}, given: map[string]bool{}, ids: map[uint64]int{}, leader: -1,
+	}
+	for i := range o.Members {
+		w.members = append(w.members, &member{w: w, index: i, speed: 1 + (w.r.Float64()*2-1)/(2*drift+2)})
+		if err := w.begin(w.members[i], i == 0); err != nil {
+			return nil, err
+		}
+	}
+	for w.ticks = 0; w.ticks < o.Ticks && len(w.result.Broken) == 0; w.ticks++ {
+		w.now = time.Duration(w.ticks) * tick
+		w.step()
+	}
+	for _, u := range w.members[0].state.Plans {
+		for _, p := range u.Places {
+			if p.Step == outage.Done {
+				w.result.Done++
+			}
+		}
+	}
+	w.result.Digest = w.hash.Sum64()
+	return w.result, nil
+}
+
+// begin starts a member on an empty disk, as another life.
+func (w *world) begin(m *member, found bool) error {
+	w.next++
+	m.id, m.life = w.next, fmt.Sprintf("life%d", w.next)
+	w.ids[m.id] = m.index
+	var err error
+	if m.disk, err = agree.OpenDisk("", agree.Identity{Name: fmt.Sprint(m.index), Life: m.life, ID: m.id}); err != nil {
+		return err
+	}
+	if found {
+		s := outage.New()
+		s.Index = 1
+		s.Members["0"] = &outage.Member{Name: "0", Life: m.life, ID: m.id, Voter: true}
+		raw, err := s.Encode()
+		if err != nil {
+			return err
+		}
+		if err := agree.Found(m.disk, "f", raw); err != nil {
+			return err
+		}
+	}
+	m.joined = found
+	return w.start(m)
+}
+
+// start starts a member's process on its disk.
+func (w *world) start(m *member) (err error) {
+	m.state, m.had, m.since, m.until, m.words, m.heard = outage.New(), m.clock(), w.now, 0, map[string]outage.Word{}, w.ticks
+	m.knows = m.disk.Who().Heard
+	m.wait = silence + w.r.IntN(silence)
+	m.core, err = agree.NewCore(agree.Options{Disk: m.disk, Machine: m, Log: nobody, Send: func(to uint64, raw []byte, _ bool) {
+		msg := &raftpb.Message{}
+		if err := proto.Unmarshal(raw, msg); err != nil {
+			panic(err)
+		}
+		if i, ok := w.ids[to]; ok && w.members[i].id == to {
+			w.send(parcel{from: m.index, to: i, raft: msg})
+		}
+	}}, w.o.Seed+w.next)
+	return err
+}
+
+// send puts a message on its way, or loses it.
+func (w *world) send(p parcel) {
+	if w.cut[[2]int{p.from, p.to}] > w.ticks || w.r.IntN(50) == 0 {
+		return
+	}
+	p.at = w.ticks + 1 + w.r.IntN(2)
+	if w.r.IntN(40) == 0 {
+		p.at += w.r.IntN(40) // held on the way
+	}
+	w.wire = append(w.wire, p)
+}
+
+// clock is a member's monotonic clock.
+func (m *member) clock() time.Duration { return time.Duration(float64(m.w.now) * m.speed) }
+
+func (m *member) up() bool { return m.core != nil && m.w.ticks >= m.stopped }
+
+// step is one tick of the world.
+func (w *world) step() {
+	w.trouble()
+	due := w.wire[:0:0]
+	left := w.wire[:0:0]
+	for _, p := range w.wire {
+		if p.at <= w.ticks && w.ticks >= w.members[p.to].stopped {
+			due = append(due, p)
+		} else {
+			left = append(left, p)
+		}
+	}
+	w.wire = left
+	for _, p := range due {
+		w.arrive(p)
+	}
+	for _, m := range w.members {
+		if m.up() {
+			w.member(m)
+		}
+	}
+	w.runs = slices.DeleteFunc(w.runs, func(a attemptAt) bool { return a.ends <= w.now })
+	w.staff()
+}
+
+// safely carries out what may panic: a core that finds what cannot be takes part no more.
+func (m *member) safely(f func(*agree.Core)) {
+	if m.core == nil {
+		return
+	}
+	defer func() {
+		if v := recover(); v != nil {
+			m.w.tell("member %d takes part no more: %v", m.index, v)
+			m.core = nil
+		}
+	}()
+	f(m.core)
+}
+
+func (w *world) arrive(p parcel) {
+	m := w.members[p.to]
+	if m.core == nil {
+		return
+	}
+	if p.do != nil {
+		p.do()
+		return
+	}
+	if p.raft.GetTo() != m.id {
+		return
+	}
+	switch p.raft.GetType() {
+	case raftpb.MsgApp, raftpb.MsgHeartbeat, raftpb.MsgSnap:
+		m.heard = w.ticks
+	}
+	m.safely(func(c *agree.Core) { c.Step(p.raft) })
+}
+
+// member lets a member do what is due.
+func (w *world) member(m *member) {
+	m.safely(func(c *agree.Core) { c.Tick(true) })
+	if m.core == nil {
+		return
+	}
+	s := m.core.Status()
+	if s.Leads {
+		if w.leader != m.index {
+			w.leader = m.index
+			w.result.Leaders++
+			w.tell("member %d leads, term %d", m.index, s.Term)
+		}
+		m.heard = w.ticks
+		w.lead(m)
+	} else if w.ticks-m.heard > m.wait && m.joined && slices.Contains(s.Voters, m.id) {
+		m.heard, m.wait = w.ticks, silence+w.r.IntN(silence)
+		m.safely((*agree.Core).Campaign)
+	}
+	if w.ticks-m.asked >= int(renew/tick) {
+		m.asked = w.ticks
+		w.report(m)
+	}
+	w.sends(m)
+}
+
+// word is what a member tells of itself.
+func (m *member) word() outage.Word {
+	word := outage.Word{Life: m.life, Applied: m.state.Index, Alone: m.w.now-m.since > attempt}
+	for _, a := range m.w.runs {
+		if a.member == m.index && !slices.Contains(word.Busy, a.machine) {
+			word.Busy = append(word.Busy, a.machine)
+		}
+	}
+	return word
+}
+
+// report has a member ask whoever leads, as far as it knows, for its lease, or to be taken in.
+func (w *world) report(m *member) {
+	began := m.clock()
+	word, life, index := m.word(), m.life, m.index
+	for _, l := range w.members { // it asks the leader; of several that take themselves for one, any
+		if l.core == nil || !l.core.Status().Leads || w.r.IntN(4) == 0 && l.index != m.index {
+			continue
+		}
+		answer := func(c uint64) {
+			do := func() {
+				if m.life != life || m.core == nil || m.state.Index < c {
+					return
+				}
+				if w.o.Fault == FromAnswer {
+					began = m.clock() + lease
+				}
+				m.knows = m.disk.Hear() == nil
+				m.until = began + lease
+				if w.o.Fault == LongLease {
+					m.until += 20 * lease
+				}
+			}
+			if l.index == m.index {
+				do()
+			} else {
+				w.send(parcel{from: l.index, to: index, do: do})
+			}
+		}
+		ask := func() { w.asked(l, m, life, word, answer) }
+		if l.index == m.index {
+			ask()
+		} else {
+			w.send(parcel{from: m.index, to: l.index, do: ask})
+		}
+		return
+	}
+}
+
+// asked is a member's report at one that takes itself for the leader.
+func (w *world) asked(l, m *member, life string, word outage.Word, answer func(uint64)) {
+	name := fmt.Sprint(m.index)
+	grant := func(index uint64, err error) {
+		if err != nil || l.core == nil || l.core.Status().Applied < index {
+			return
+		}
+		if is := l.state.Members[name]; is == nil || is.Life != life {
+			if m.life == life {
+				w.take(l, m)
+			}
+			return
+		}
+		l.words[name] = word
+		answer(l.state.Index)
+	}
+	if w.o.Fault == NoConfirm {
+		grant(0, nil)
+		return
+	}
+	l.safely(func(c *agree.Core) { c.Read(grant) })
+}
+
+// take takes a member in as a follower.
+func (w *world) take(l, m *member) {
+	raw, err := json.Marshal(outage.Command{Kind: outage.Join, Member: &outage.Member{
+		Name: fmt.Sprint(m.index), Life: m.life, ID: m.id, Voter: m.index < w.o.Voters,
+	}})
+	if err != nil {
+		panic(err)
+	}
+	m.joined = true
+	learner := raftpb.ConfChangeAddLearnerNode
+	l.safely(func(c *agree.Core) { c.Change([]*raftpb.ConfChangeSingle{{Type: &learner, NodeId: &m.id}}, raw) })
+}
+
+// lead proposes what has been heard, and who votes.
+func (w *world) lead(m *member) {
+	s := m.core.Status()
+	m.words[fmt.Sprint(m.index)] = m.word()
+	adv := &outage.Advance{
+		Seq: m.state.Seq, Waited: m.clock() - m.had, Bound: (lease + attempt) * (drift + 1) / drift, Warm: warm,
+		Words: m.words, Fleet: map[string]outage.Runner{},
+	}
+	switch w.o.Fault {
+	case FewWords:
+		adv.Bound = 1
+	case TwiceTime:
+		adv.Waited *= 4
+	}
+	for i := range machines {
+		adv.Fleet[runner(i)] = outage.Runner{Zone: fmt.Sprint(i % 2), Kind: "k", Weight: float64(1 + i)}
+	}
+	if m.state.Would(adv) {
+		w.propose(m, outage.Command{Kind: outage.Proceed, Advance: adv})
+	}
+	caught := m.core.Caught()
+	for _, name := range m.state.Names() {
+		is := m.state.Members[name]
+		if !is.Voter || !slices.Contains(s.Follow, is.ID) || !slices.Contains(caught, is.ID) {
+			continue
+		}
+		add, remove := raftpb.ConfChangeAddNode, raftpb.ConfChangeRemoveNode
+		changes := []*raftpb.ConfChangeSingle{{Type: &add, NodeId: &is.ID}}
+		for _, o := range is.Old {
+			if slices.Contains(s.Voters, o.ID) {
+				changes = append(changes, &raftpb.ConfChangeSingle{Type: &remove, NodeId: &o.ID})
+			}
+		}
+		m.safely(func(c *agree.Core) { c.Change(changes, nil) })
+		return
+	}
+}
+
+func runner(i int) string { return fmt.Sprint("m", i) }
+
+func (w *world) propose(m *member, c outage.Command) {
+	raw, err := json.Marshal(c)
+	if err != nil {
+		panic(err)
+	}
+	m.safely(func(k *agree.Core) { k.Propose(raw) })
+}
+
+// sends has a member send to machines, as its lease lets it, and judges each send.
+func (w *world) sends(m *member) {
+	if m.core == nil {
+		return
+	}
+	leased, away := m.state.Leased(), m.state.Away()
+	for range 2 {
+		name := runner(w.r.IntN(machines))
+		free := m.knows && !leased[name] || m.clock() < m.until
+		if away[name] || !free && w.o.Fault != NoLease {
+			continue
+		}
+		if since, ok := w.out[name]; ok {
+			w.broken("clear: member %d sends to %s, which staff have since %.2fs", m.index, name, since.Seconds())
+		}
+		w.runs = append(w.runs, attemptAt{name, m.index, w.now + time.Duration(w.r.Int64N(int64(attempt)))})
+	}
+}
+
+// staff hand the plan in, work on what is clear and say done, at whoever leads by its own lights.
+func (w *world) staff() {
+	var l *member
+	for _, m := range w.members {
+		if m.up() && m.core.Status().Leads {
+			l = m
+		}
+	}
+	if l == nil || w.ticks < 60 || len(l.state.Members) < w.o.Members {
+		return
+	}
+	if len(l.state.Plans) == 0 {
+		p := &outage.Plan{Name: "p", Out: 2, ZoneOut: 1, Overdue: outage.Wait}
+		for i := range machines {
+			p.Machines = append(p.Machines, outage.Machine{Name: runner(i), Runners: []string{runner(i)}})
+		}
+		if w.o.Fault == NoBudget {
+			p.Out, p.ZoneOut = machines, 0
+		}
+		w.propose(l, outage.Command{ID: "hand", Kind: outage.HandIn, Plan: p})
+		w.propose(l, outage.Command{ID: "start", Kind: outage.Start, Name: "p"})
+		return
+	}
+	for _, p := range l.state.Plans[0].Places {
+		since, out := w.out[p.Name]
+		switch {
+		case p.Step == outage.Clear && w.r.IntN(4) == 0:
+			w.propose(l, outage.Command{ID: fmt.Sprint("take", p.Name), Kind: outage.Take, Machine: p.Name})
+		case p.Step == outage.Out && w.given[p.Name]: // the answer may have been lost
+			w.propose(l, outage.Command{ID: fmt.Sprint("done", p.Name), Kind: outage.Return, Machine: p.Name})
+		case p.Step == outage.Out && !out:
+			w.tell("%s is clear, says member %d", p.Name, l.index)
+			w.out[p.Name] = w.now
+			if len(w.out) > 2 {
+				w.broken("budget: %d machines are with staff, 2 may be", len(w.out))
+			}
+			for _, a := range w.runs {
+				if a.machine == p.Name {
+					w.broken("clear: an attempt of member %d runs at %s", a.member, p.Name)
+				}
+			}
+		case out && w.now-since > 500*time.Millisecond:
+			delete(w.out, p.Name) // from here it may be sent to
+			w.given[p.Name] = true
+		}
+	}
+}
+
+// trouble draws what goes wrong in this tick.
+func (w *world) trouble() {
+	m := w.members[w.r.IntN(len(w.members))]
+	length := w.ticks + 2 + w.r.IntN(80)
+	switch w.r.IntN(6 * cmp.Or(w.o.Calm, 48)) {
+	case 0: // cut off from all, or one way
+		way := w.r.IntN(3)
+		for i := range w.members {
+			if way != 1 {
+				w.cut[[2]int{m.index, i}] = length
+			}
+			if way != 2 {
+				w.cut[[2]int{i, m.index}] = length
+			}
+		}
+		w.tell("member %d is cut off (way %d) until tick %d", m.index, way, length)
+	case 1: // one link
+		w.cut[[2]int{m.index, w.r.IntN(len(w.members))}] = length
+	case 2:
+		m.stopped = length
+		w.tell("member %d stands still until tick %d", m.index, length)
+	case 5: // ... and is cut off when it wakes
+		length += 20 + w.r.IntN(120)
+		m.stopped = length
+		for i := range w.members {
+			w.cut[[2]int{m.index, i}], w.cut[[2]int{i, m.index}] = length+30, length+30
+		}
+		w.tell("member %d stands still until tick %d, and is cut off for longer", m.index, length)
+	case 3, 4: // killed, and started again at once with its disk or, rarely, without
+		if w.ticks < 40 {
+			return
+		}
+		lost := w.r.IntN(6) == 0 && w.whole(m)
+		w.tell("member %d is killed and starts again, disk lost: %t", m.index, lost)
+		m.stopped = 0
+		// What it left behind runs to its end.
+		var err error
+		switch {
+		case lost && w.o.Fault == Forgets:
+			if m.disk, err = agree.OpenDisk("", m.disk.Who()); err == nil {
+				err = w.start(m)
+			}
+		case lost:
+			m.joined = false
+			err = w.begin(m, false)
+		default:
+			err = w.start(m)
+		}
+		if err != nil {
+			panic(err)
+		}
+	}
+}
+
+// whole tells whether all voters have their place: one more disk may be lost.
+func (w *world) whole(but *member) bool {
+	for _, m := range w.members[:w.o.Voters] {
+		if m.core == nil || !m.joined || !slices.Contains(m.core.Status().Voters, m.id) {
+			return false
+		}
+	}
+	return true
+}
+
+// Line says in one line what a history came to.
+func (r *Result) Line(seed uint64) string {
+	verdict := "kept"
+	if len(r.Broken) > 0 {
+		verdict = "BROKEN " + strings.Join(r.Broken, "; ")
+	}
+	return fmt.Sprintf("seed %d: %s; %d machines done, %d leaders, digest %016x", seed, verdict, r.Done, r.Leaders, r.Digest)
+}
