--- a/cmd/birchfork/lab.go
+++ b/cmd/birchfork/lab.go
@@ -44,7 +44,8 @@
 	Overhead labOverhead `cmd:"" help:"Measure what a dispatcher adds to asking a worker straight."`
 	Scale    labScale    `cmd:"" help:"Measure how the cost grows with workers and dispatchers."`
 
-	Group labGroup `cmd:"" help:"Play a group of dispatchers with faults between them, and judge what it promises."`
+	Histories labHistories `cmd:"" help:"Play the cores of a group in virtual time: simulated histories, with faults drawn from a seed."`
+	Group     labGroup     `cmd:"" help:"Play a group of dispatchers with faults between them, and judge what it promises."`
 
 	Member     labMember     `cmd:"" hidden:"" help:"One member that has a planted fault: for the lab itself."`
 	Dispatcher labDispatcher `cmd:"" hidden:"" help:"One dispatcher that a baseline decides for, or that has a planted fault: for the lab itself."`
--- a/cmd/birchfork/labgroup.go
+++ b/cmd/birchfork/labgroup.go
@@ -9,14 +9,18 @@
 	"os"
 	"os/exec"
 	"os/signal"
+	"runtime"
 	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"birchfork/internal/lab/groups"
+	"birchfork/internal/lab/histories"
 	"birchfork/internal/node"
 	"birchfork/internal/plant"
 )
@@ -52,7 +56,7 @@
 			if l.Plant != "" {
 				return exec.Command(exe, "lab", "member", "--plant", l.Plant, "--config", config, "--operator", operator)
 			}
-			return exec.Command(exe, "serve", "--log-level", "warn", "--config", config, "--operator", operator)
+			return exec.Command(exe, "serve", "--config", config, "--operator", operator)
 		},
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
@@ -88,6 +92,59 @@
 	return nil
 }
 
+// labHistories plays simulated histories.
+type labHistories struct {
+	Members int    `help:"Members." default:"3"`
+	Voters  int    `help:"Members that vote." default:"3"`
+	Seed    uint64 `help:"Of the first history; the others follow." default:"1"`
+	Runs    int    `help:"So many histories." default:"1000"`
+	Ticks   int    `help:"Their length, in ticks of 50 ms." default:"700"`
+	Calm    int    `help:"Ticks from one trouble to the next, on the average." default:"48"`
+	Fault   string `help:"Plant this fault in the cores." placeholder:"FAULT"`
+	Story   bool   `help:"Tell what happens."`
+}
+
+// Run plays them on all cores; the same seeds give the same histories.
+func (l *labHistories) Run(out output) error {
+	if l.Fault != "" && !slices.Contains(histories.Faults, l.Fault) {
+		return fmt.Errorf("--fault: %q is none of: %s", l.Fault, strings.Join(histories.Faults, "; "))
+	}
+	if l.Members < 1 || l.Voters < 1 || l.Voters > l.Members || l.Runs < 1 {
+		return errors.New("--members, --voters and --runs are above 0, and no more vote than there are")
+	}
+	var next atomic.Int64
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	var failed error
+	broken, done := 0, 0
+	for range runtime.GOMAXPROCS(0) {
+		all.Go(func() {
+			for i := next.Add(1) - 1; i < int64(l.Runs); i = next.Add(1) - 1 {
+				o := histories.Options{Seed: l.Seed + uint64(i), Members: l.Members, Voters: l.Voters, Ticks: l.Ticks, Calm: l.Calm, Fault: l.Fault}
+				if l.Story && l.Runs == 1 {
+					o.Story = out.std
+				}
+				r, err := histories.Play(o)
+				mu.Lock()
+				if failed = errors.Join(failed, err); err == nil {
+					if done += r.Done; len(r.Broken) > 0 {
+						broken++
+						fmt.Fprintln(out.std, r.Line(o.Seed))
+					}
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	all.Wait()
+	fmt.Fprintf(out.std, "simulated: %d histories of %d members, %d voters, %d ticks: %d with a broken rule, %d machines done\n",
+		l.Runs, l.Members, l.Voters, l.Ticks, broken, done)
+	if failed == nil && broken > 0 {
+		return errBroken
+	}
+	return failed
+}
+
 // labMember is one member with a fault.
 type labMember struct {
 	Plant    string `required:""`
@@ -101,7 +158,7 @@
 		return errors.New("--plant: there is no such fault")
 	}
 	plant.Set(l.Plant)
-	c, err := node.LoadAll(l.Config, l.Operator, "")
+	c, err := node.LoadAll(l.Config, l.Operator, os.Getenv("EDGE_OPERATOR"))
 	if err != nil {
 		return err
 	}
--- a/internal/council/staff.go
+++ b/internal/council/staff.go
@@ -197,17 +197,21 @@
 // absent says why no plan may start: each member by our file has to be in, and in use of plans, as one that knows of no group
 // sends where it likes. The lock is held.
 func (c *Council) absent() string {
-	var out, without []string
+	var out, silent, without []string
 	for _, p := range c.o.Group.Peers {
 		if c.state.Members[p.Name] == nil {
 			out = append(out, p.Name)
-		} else if h, ok := c.words[p.Name]; ok && !h.Plans {
+		} else if h, ok := c.words[p.Name]; !ok {
+			silent = append(silent, p.Name)
+		} else if !h.Plans {
 			without = append(without, p.Name)
 		}
 	}
 	switch {
 	case len(out) > 0:
 		return "not in the group yet: " + strings.Join(out, ", ")
+	case len(silent) > 0:
+		return "not heard of yet by this leader: " + strings.Join(silent, ", ")
 	case len(without) > 0 || !c.o.Group.Plans:
 		return "without plans = true in [group]: " + strings.Join(without, ", ")
 	}
--- a/internal/lab/groups/groups.go
+++ b/internal/lab/groups/groups.go
@@ -48,11 +48,12 @@
 	Wipe   = "wipe"   // ... with an empty disk
 	Old    = "old"    // it works on, is killed, and started again with the disk that it had at the fault's beginning
 	Term   = "term"   // its process ends in order and is started again
+	Renew  = "renew"  // a process starts beside it, and takes its place
 	Down   = "down"   // the worker of that number, no member, is killed and starts again cold
 )
 
 // Kinds are all kinds of faults that a storm draws.
-var Kinds = []string{Cut, Deaf, Mute, Reset, Slow, Narrow, Torn, Stop, Kill, Wipe, Old, Term, Down}
+var Kinds = []string{Cut, Deaf, Mute, Reset, Slow, Narrow, Torn, Stop, Kill, Wipe, Old, Term, Renew, Down}
 
 // Fault is one fault of the timetable.
 type Fault struct {
@@ -141,7 +142,7 @@
 			if cmd.Env == nil {
 				cmd.Env = os.Environ()
 			}
-			cmd.Env = append(cmd.Env, "TMPDIR="+g.dir)
+			cmd.Env = append(cmd.Env, "TMPDIR="+g.dir, "EDGE_OPERATOR=127.0.0.1:0")
 			return cmd
 		},
 	})
@@ -445,7 +446,7 @@
 	if f.Member < 0 {
 		f.Member = g.leader()
 	}
-	if slices.Contains([]string{Stop, Kill, Wipe, Old, Term}, f.Kind) {
+	if slices.Contains([]string{Stop, Kill, Wipe, Old, Term, Renew}, f.Kind) {
 		if !g.seize(&f) {
 			return
 		}
@@ -469,6 +470,8 @@
 		})
 	case Term:
 		g.stage.Terminate(ctx, f.Member)
+	case Renew:
+		g.stage.Upgrade(ctx, f.Member)
 	case Down:
 		l := g.stage.Ledger()
 		g.mu.Lock()
--- a/internal/lab/groups/groups_test.go
+++ b/internal/lab/groups/groups_test.go
@@ -28,7 +28,7 @@
 	if who != sound {
 		plant.Set(who)
 	}
-	c, err := node.LoadAll(os.Args[1], os.Args[2], "")
+	c, err := node.LoadAll(os.Args[1], os.Args[2], os.Getenv("EDGE_OPERATOR"))
 	if err == nil {
 		log := logrus.New()
 		if dir := os.Getenv("GROUPS_TEST_LOGS"); dir != "" { // to look into a failure
@@ -89,6 +89,8 @@
 		"the leader is restarted in order":   {{Term, -1, s / 2, 0}},
 		"one comes back without, cut off":    {{Cut, 2, 0, 7 * s}, {Wipe, 2, s / 2, s}},
 		"a worker dies meanwhile":            {{Down, 1, 0, 7 * s}},
+		"the leader is upgraded":             {{Renew, -1, s / 2, 0}},
+		"a member is upgraded, cut off":      {{Cut, 2, 0, 5 * s}, {Renew, 2, s, 0}},
 		"all are restarted one by one":       {{Term, 0, s / 2, 0}, {Term, 1, 4 * s, 0}, {Term, 2, 8 * s, 0}},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -111,6 +111,13 @@
 	return len(p), nil
 }
 
+// has tells whether the end of it has a text.
+func (t *tail) has(text string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return bytes.Contains(t.buf, []byte(text))
+}
+
 func (t *tail) last() string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -137,26 +144,35 @@
 
 // start starts a process and returns when it says that it is up.
 func (d *dispatcher) start(ctx context.Context) error {
-	if err := d.configure(); err != nil {
+	p, err := d.begin()
+	if err != nil {
 		return err
 	}
+	if err := d.ready(ctx, p); err != nil {
+		return err
+	}
+	d.run.ledger.Moment(judge.Moment{Dispatcher: d.index, At: d.run.ledger.Now(), What: judge.Ready})
+	d.run.load.Front(d.index).Down(false)
+	return nil
+}
+
+// begin starts a process, which is the dispatcher's from then on.
+func (d *dispatcher) begin() (*process, error) {
+	if err := d.configure(); err != nil {
+		return nil, err
+	}
 	p := &process{cmd: d.run.launch(d.path), done: make(chan struct{}), ended: judge.Crashed}
 	p.cmd.Stdout, p.cmd.Stderr = &p.log, &p.log
 	d.run.ledger.Moment(judge.Moment{Dispatcher: d.index, At: d.run.ledger.Now(), What: judge.Started})
 	if err := d.run.spawner.start(p.cmd); err != nil {
-		return fmt.Errorf("starting dispatcher %d: %w", d.index, err)
+		return nil, fmt.Errorf("starting dispatcher %d: %w", d.index, err)
 	}
 	d.mu.Lock()
 	d.proc = p
 	d.starts++
 	d.mu.Unlock()
 	go d.wait(p)
-	if err := d.ready(ctx, p); err != nil {
-		return err
-	}
-	d.run.ledger.Moment(judge.Moment{Dispatcher: d.index, At: d.run.ledger.Now(), What: judge.Ready})
-	d.run.load.Front(d.index).Down(false)
-	return nil
+	return p, nil
 }
 
 // ready asks until the process says that it is up.
@@ -236,10 +252,13 @@
 
 // terminate ends the process in order. One that has not ended when the platform would kill it is killed, which counts.
 func (d *dispatcher) terminate(within time.Duration) {
-	p := d.signal(syscall.SIGTERM, judge.Terminated, judge.Exited)
-	if p == nil {
-		return
+	if p := d.signal(syscall.SIGTERM, judge.Terminated, judge.Exited); p != nil {
+		d.gone(p, within)
 	}
+}
+
+// gone waits for the end of a process that was told to end.
+func (d *dispatcher) gone(p *process, within time.Duration) {
 	select {
 	case <-p.done:
 		return
--- a/internal/lab/stage.go
+++ b/internal/lab/stage.go
@@ -56,6 +56,44 @@
 	s.run.restartOne(ctx, dispatcher, false, 0, nil)
 }
 
+// servesText is what a process logs once clients can connect to it.
+const servesText = "msg=serving"
+
+// Upgrade starts a process beside the one that serves, and ends that in order once the new one serves.
+func (s *Stage) Upgrade(ctx context.Context, dispatcher int) {
+	d := s.run.dispatchers[dispatcher]
+	d.mu.Lock()
+	old := d.proc
+	d.mu.Unlock()
+	now := func(what judge.What, detail string) {
+		s.run.ledger.Moment(judge.Moment{Dispatcher: dispatcher, At: s.run.ledger.Now(), What: what, Detail: detail})
+	}
+	young, err := d.begin()
+	if err != nil {
+		now(judge.Crashed, err.Error())
+		return
+	}
+	for by := time.Now().Add(readyWait); !young.log.has(servesText); {
+		select {
+		case <-ctx.Done():
+			return
+		case <-young.done:
+			return // its end is taken down
+		case <-time.After(readyEvery):
+		}
+		if time.Now().After(by) {
+			now(judge.Crashed, "the process beside it did not serve in time: "+young.log.last())
+			break
+		}
+	}
+	d.mu.Lock()
+	old.ended = judge.Exited
+	d.mu.Unlock()
+	now(judge.Terminated, "")
+	old.cmd.Process.Signal(syscall.SIGTERM)
+	d.gone(old, s.run.stopWithin())
+}
+
 // restartOne ends a dispatcher and starts it again.
 func (r *run) restartOne(ctx context.Context, dispatcher int, kill bool, away time.Duration, change func()) {
 	k, front := r.dispatchers[dispatcher], r.load.Front(dispatcher)
--- a/internal/outage/advance.go
+++ b/internal/outage/advance.go
@@ -245,7 +245,7 @@
 // forbids says why a machine may not be taken now; empty where it may.
 func (s *State) forbids(u *Under, p *Place, a *Advance, units map[string]*unit) string {
 	key := "machine " + p.Name
-	var all []string
+	var all, gone []string
 	fleet, total, stays := 0, 0.0, 0.0
 	zones, kinds := map[string]int{}, map[string]int{}
 	left := map[string]bool{} // zones and kinds that keep a runner
@@ -268,7 +268,9 @@
 		if !away {
 			continue
 		}
-		fleet++
+		if fleet++; name != key {
+			gone = append(gone, name)
+		}
 		for z := range inZone {
 			zones[z]++
 		}
@@ -280,7 +282,7 @@
 		return ""
 	}
 	if fleet > u.Out {
-		return fmt.Sprintf("%d machines would be away, %d may be", fleet, u.Out)
+		return fmt.Sprintf("%d machines would be away, %d may be%s", fleet, u.Out, others(gone))
 	}
 	for _, w := range p.Runners {
 		r, ok := a.Fleet[w]
@@ -306,6 +308,21 @@
 	return ""
 }
 
+// namesTold bounds the names in a reason.
+const namesTold = 5
+
+// others names what is away already, for a reason.
+func others(names []string) string {
+	if len(names) == 0 {
+		return ""
+	}
+	more := ""
+	if len(names) > namesTold {
+		names, more = names[:namesTold], ", ..."
+	}
+	return ": " + strings.Join(names, ", ") + more
+}
+
 // Why says for each machine that does not go on what it waits for.
 func (s *State) Why(u *Under, a *Advance) map[string]string {
 	_, why := s.Next(u, a)
