--- a/internal/lab/groups/groups.go
+++ b/internal/lab/groups/groups.go
@@ -39,6 +39,8 @@
 	Cut    = "cut"    // nothing passes between the member and the others
 	Deaf   = "deaf"   // nothing reaches the member; what it sends arrives
 	Mute   = "mute"   // nothing that the member sends arrives
+	Apart  = "apart"  // nothing passes between the member and the one that leads then; all else does
+	Flap   = "flap"   // as cut, for 300 ms out of 600
 	Reset  = "reset"  // its links are reset
 	Slow   = "slow"   // its links have 300 ms more, one way
 	Narrow = "narrow" // its links pass 2 kB a second
@@ -53,7 +55,7 @@
 )
 
 // Kinds are all kinds of faults that a storm draws.
-var Kinds = []string{Cut, Deaf, Mute, Reset, Slow, Narrow, Torn, Stop, Kill, Wipe, Old, Term, Renew, Down}
+var Kinds = []string{Cut, Deaf, Mute, Apart, Flap, Reset, Slow, Narrow, Torn, Stop, Kill, Wipe, Old, Term, Renew, Down}
 
 // Fault is one fault of the timetable.
 type Fault struct {
@@ -61,6 +63,8 @@
 	Member int           // -1: the one that leads then
 	At     time.Duration // since the group was founded and its plan ran
 	For    time.Duration
+
+	other int // whom it is apart from
 }
 
 func (f Fault) String() string {
@@ -484,13 +488,28 @@
 		g.downs[at].until = l.Now()
 		g.mu.Unlock()
 		g.stage.Fleet().Up(f.Member)
+	case Flap:
+		f.Kind = Cut
+		for end := time.Now().Add(f.For); ctx.Err() == nil && time.Now().Before(end); sleep(ctx, flapEvery) {
+			g.set(f, true)
+			sleep(ctx, flapEvery)
+			g.set(f, false)
+		}
 	default:
+		if f.Kind == Apart {
+			if f.other = g.leader(); f.other == f.Member {
+				f.other = (f.Member + 1) % len(g.real)
+			}
+		}
 		g.set(f, true)
 		sleep(ctx, f.For)
 		g.set(f, false)
 	}
 }
 
+// flapEvery is how long a link that flaps is in either state.
+const flapEvery = 300 * time.Millisecond
+
 // wipesApart is how far apart two disks may be lost: a majority of voters that forgets has no history to go on by, and no
 // promise holds. A voter has its place again some seconds after it is back.
 const wipesApart = 12 * time.Second
@@ -539,6 +558,10 @@
 			switch f.Kind {
 			case Cut:
 				now.there, now.back = true, true
+			case Apart:
+				if pair[0] == f.other || pair[1] == f.other {
+					now.there, now.back = true, true
+				}
 			case Deaf:
 				now.there, now.back = now.there || in, now.back || out
 			case Mute:
--- a/internal/lab/groups/groups_test.go
+++ b/internal/lab/groups/groups_test.go
@@ -75,23 +75,25 @@
 // Three processes and a fault between them: all rules hold, and the plan goes through.
 func TestFaultsBetweenProcesses(t *testing.T) {
 	for name, faults := range map[string][]Fault{
-		"a member is cut off":                {{Cut, 2, 0, 8 * s}},
-		"the leader is cut off":              {{Cut, -1, 0, 8 * s}},
-		"a member hears nothing":             {{Deaf, 2, 0, 8 * s}},
-		"nobody hears the leader":            {{Mute, -1, 0, 6 * s}},
-		"links break, crawl and lag":         {{Torn, 1, 0, 3 * s}, {Narrow, 2, 1 * s, 4 * s}, {Slow, 0, 2 * s, 4 * s}},
-		"the leader stands still and wakes":  {{Stop, -1, s / 2, 4 * s}},
-		"a member stands still and wakes":    {{Stop, 2, s / 2, 6 * s}},
-		"the leader is killed":               {{Kill, -1, s / 2, 3 * s}},
-		"a member comes back without a disk": {{Wipe, 2, s / 2, 2 * s}},
-		"the leader comes back without one":  {{Wipe, -1, s / 2, 2 * s}},
-		"a disk of six seconds ago":          {{Old, 2, 0, 6 * s}, {Cut, 0, 8 * s, 5 * s}},
-		"the leader is restarted in order":   {{Term, -1, s / 2, 0}},
-		"one comes back without, cut off":    {{Cut, 2, 0, 7 * s}, {Wipe, 2, s / 2, s}},
-		"a worker dies meanwhile":            {{Down, 1, 0, 7 * s}},
-		"the leader is upgraded":             {{Renew, -1, s / 2, 0}},
-		"a member is upgraded, cut off":      {{Cut, 2, 0, 5 * s}, {Renew, 2, s, 0}},
-		"all are restarted one by one":       {{Term, 0, s / 2, 0}, {Term, 1, 4 * s, 0}, {Term, 2, 8 * s, 0}},
+		"a member is cut off":                 {{Kind: Cut, Member: 2, At: 0, For: 8 * s}},
+		"the leader is cut off":               {{Kind: Cut, Member: -1, At: 0, For: 8 * s}},
+		"a member hears nothing":              {{Kind: Deaf, Member: 2, At: 0, For: 8 * s}},
+		"nobody hears the leader":             {{Kind: Mute, Member: -1, At: 0, For: 6 * s}},
+		"links break, crawl and lag":          {{Kind: Torn, Member: 1, At: 0, For: 3 * s}, {Kind: Narrow, Member: 2, At: 1 * s, For: 4 * s}, {Kind: Slow, Member: 0, At: 2 * s, For: 4 * s}},
+		"the leader stands still and wakes":   {{Kind: Stop, Member: -1, At: s / 2, For: 4 * s}},
+		"a member stands still and wakes":     {{Kind: Stop, Member: 2, At: s / 2, For: 6 * s}},
+		"the leader is killed":                {{Kind: Kill, Member: -1, At: s / 2, For: 3 * s}},
+		"a member comes back without a disk":  {{Kind: Wipe, Member: 2, At: s / 2, For: 2 * s}},
+		"the leader comes back without one":   {{Kind: Wipe, Member: -1, At: s / 2, For: 2 * s}},
+		"a disk of six seconds ago":           {{Kind: Old, Member: 2, At: 0, For: 6 * s}, {Kind: Cut, Member: 0, At: 8 * s, For: 5 * s}},
+		"the leader is restarted in order":    {{Kind: Term, Member: -1, At: s / 2, For: 0}},
+		"one comes back without, cut off":     {{Kind: Cut, Member: 2, At: 0, For: 7 * s}, {Kind: Wipe, Member: 2, At: s / 2, For: s}},
+		"a worker dies meanwhile":             {{Kind: Down, Member: 1, At: 0, For: 7 * s}},
+		"a member reaches all but the leader": {{Kind: Apart, Member: 2, At: 0, For: 10 * s}},
+		"a cut heals and comes back":          {{Kind: Flap, Member: -1, At: 0, For: 8 * s}},
+		"the leader is upgraded":              {{Kind: Renew, Member: -1, At: s / 2, For: 0}},
+		"a member is upgraded, cut off":       {{Kind: Cut, Member: 2, At: 0, For: 5 * s}, {Kind: Renew, Member: 2, At: s, For: 0}},
+		"all are restarted one by one":        {{Kind: Term, Member: 0, At: s / 2, For: 0}, {Kind: Term, Member: 1, At: 4 * s, For: 0}, {Kind: Term, Member: 2, At: 8 * s, For: 0}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -115,18 +117,18 @@
 		fault, rule string
 		o           Options
 	}{
-		{plant.NoLease, ClearRule, Options{Faults: []Fault{{Cut, 2, 0, 20 * s}}, Work: 4 * s}},
-		{plant.LongLease, ClearRule, Options{Faults: []Fault{{Cut, 2, 0, 20 * s}}, Work: 4 * s}},
-		{plant.FewWords, ClearRule, Options{Faults: []Fault{{Slow, 2, 0, 20 * s}}, Machines: 4}},
+		{plant.NoLease, ClearRule, Options{Faults: []Fault{{Kind: Cut, Member: 2, At: 0, For: 20 * s}}, Work: 4 * s}},
+		{plant.LongLease, ClearRule, Options{Faults: []Fault{{Kind: Cut, Member: 2, At: 0, For: 20 * s}}, Work: 4 * s}},
+		{plant.FewWords, ClearRule, Options{Faults: []Fault{{Kind: Slow, Member: 2, At: 0, For: 20 * s}}, Machines: 4}},
 		{plant.IgnoresBusy, ClearRule, Options{Machines: 5}},
-		{plant.ForgetsOut, ClearRule, Options{Faults: []Fault{{Kill, 2, 1 * s, s}}, Work: 8 * s}},
-		{plant.SeesAnyway, ClearRule, Options{Faults: []Fault{{Cut, 2, 0, 9 * s}, {Wipe, 2, 5 * s, s}}, Work: 6 * s}},
+		{plant.ForgetsOut, ClearRule, Options{Faults: []Fault{{Kind: Kill, Member: 2, At: 1 * s, For: s}}, Work: 8 * s}},
+		{plant.SeesAnyway, ClearRule, Options{Faults: []Fault{{Kind: Cut, Member: 2, At: 0, For: 9 * s}, {Kind: Wipe, Member: 2, At: 5 * s, For: s}}, Work: 6 * s}},
 		{plant.NoBudget, BudgetRule, Options{Work: 2 * s}},
-		{plant.DeadUncounted, BudgetRule, Options{Faults: []Fault{{Down, 1, 0, 12 * s}}, Machines: 6}},
-		{plant.OwnOrder, OrderRule, Options{Faults: []Fault{{Term, -1, s / 2, 0}}, Machines: 5}},
-		{plant.SilentAnswer, OrderRule, Options{Faults: []Fault{{Slow, 1, 0, 9 * s}, {Slow, 2, 0, 9 * s}}}},
+		{plant.DeadUncounted, BudgetRule, Options{Faults: []Fault{{Kind: Down, Member: 1, At: 0, For: 12 * s}}, Machines: 6}},
+		{plant.OwnOrder, OrderRule, Options{Faults: []Fault{{Kind: Term, Member: -1, At: s / 2, For: 0}}, Machines: 5}},
+		{plant.SilentAnswer, OrderRule, Options{Faults: []Fault{{Kind: Slow, Member: 1, At: 0, For: 9 * s}, {Kind: Slow, Member: 2, At: 0, For: 9 * s}}}},
 		{plant.ActsTwice, GoesOnRule, Options{}},
-		{plant.NeverClear, GoesOnRule, Options{Faults: []Fault{{Cut, 2, 0, 30 * s}}}},
+		{plant.NeverClear, GoesOnRule, Options{Faults: []Fault{{Kind: Cut, Member: 2, At: 0, For: 30 * s}}}},
 	} {
 		t.Run(c.fault, func(t *testing.T) {
 			t.Parallel()
