--- a/internal/agree/agree.go
+++ b/internal/agree/agree.go
@@ -66,6 +66,7 @@
 // Agree runs one member's part until Close.
 type Agree struct {
 	o      Options
+	id     uint64 // our raft id: the disk is the loop's
 	calls  chan func(*Core)
 	in     chan *raftpb.Message
 	quit   chan struct{}
@@ -80,7 +81,7 @@
 		return nil, err
 	}
 	a := &Agree{
-		o: o, calls: make(chan func(*Core), 64), in: make(chan *raftpb.Message, messagesMost), quit: make(chan struct{}),
+		o: o, id: o.Disk.who.ID, calls: make(chan func(*Core), 64), in: make(chan *raftpb.Message, messagesMost), quit: make(chan struct{}),
 		done: make(chan struct{}),
 	}
 	a.tell(c)
@@ -156,7 +157,7 @@
 	if err := proto.Unmarshal(raw, m); err != nil {
 		return 0, mark, fmt.Errorf("no message of raft's: %w", err)
 	}
-	if m.GetTo() != a.o.Disk.who.ID {
+	if m.GetTo() != a.id {
 		return 0, mark, errors.New("it is for another life than ours")
 	}
 	switch m.GetType() {
--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -264,15 +264,16 @@
 
 // begin takes part in the agreement by what the disk has.
 func (c *Council) begin(v *voice, disk *agree.Disk) {
+	who := disk.Who() // from the start on the disk is the loop's
 	a, err := agree.Start(agree.Options{Disk: disk, Machine: c, Send: c.send, Log: c.o.Log})
 	if err != nil {
 		c.o.Log.WithError(err).Error("this member takes no part in the group's agreement; it serves on")
 		return
 	}
 	c.mu.Lock()
-	v.agree, v.who = a, disk.Who()
+	v.agree, v.who = a, who
 	c.mu.Unlock()
-	if disk.Kept() && disk.Who().Heard {
+	if disk.Kept() && who.Heard {
 		// Guards against a disk that has a vote and no plan yet: what it has is not enough, it has to have been confirmed once.
 		// From then on no plan has begun that this life did not confirm.
 		c.o.Dispatcher.Blind(false)
