--- a/internal/council/council_test.go
+++ b/internal/council/council_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -13,6 +14,7 @@
 	"github.com/sirupsen/logrus/hooks/test"
 	"go.uber.org/goleak"
 
+	"birchfork/internal/agree"
 	"birchfork/internal/config"
 	"birchfork/internal/group"
 	"birchfork/internal/outage"
@@ -186,3 +188,35 @@
 		return leased == 0
 	})
 }
+
+// A member that starts with a disk trusts it only if the group has spoken to that life: one with a vote and no plan yet has
+// missed what it was taken in for.
+func TestADiskIsTrustedOnceTheGroupHasSpoken(t *testing.T) {
+	for _, heard := range []bool{false, true} {
+		g := config.Group{Name: "g", Plans: true, Lease: time.Second, Folder: t.TempDir(), Peers: []group.Peer{
+			{Name: "d0", Link: "127.83.8.1:0"}, {Name: "d1", Link: "127.83.8.2:1"},
+		}}
+		d, err := agree.OpenDisk(g.Folder, agree.Identity{Group: "g", Name: "d0", Life: "l", ID: 7})
+		if err == nil {
+			err = agree.Found(d, "f", []byte(`{"seq":3}`))
+		}
+		if err == nil && heard {
+			err = d.Hear()
+		}
+		if err = errors.Join(err, d.Close()); err != nil {
+			t.Fatal(err)
+		}
+		log, _ := test.NewNullLogger()
+		h := &hand{}
+		c := Start(Options{
+			Group: &g, Self: "d0", Dispatcher: h, Beside: func() (int, bool) { return 0, false }, Attempt: time.Second, Log: log,
+		})
+		for end := time.Now().Add(10 * time.Second); c.agreement() == nil && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		c.Close() // from here nothing changes
+		if _, _, _, blind := h.see(); blind == heard {
+			t.Errorf("the group has spoken: %t; blind: %t", heard, blind)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/fleet/discovery_test.go
@@ -0,0 +1,41 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"birchfork/internal/lab/judge"
+)
+
+// News that comes a moment after other news arrives behind it: a worker that goes and comes back at once is there.
+func TestNewsKeepsItsOrder(t *testing.T) {
+	d, err := NewDiscovery(judge.NewLedger(), 1, 10, time.Millisecond, 0, rand.New(rand.NewPCG(1, 2)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.Close()
+	const rounds = 2000
+	a := d.Agents[0]
+	for range rounds {
+		for _, status := range []string{StatusRemoved, StatusUp} {
+			d.Publish(News{Worker: -1, Endpoint: func(int) Endpoint { return Endpoint{Name: "w", Status: status} }}, false)
+		}
+	}
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		a.mu.Lock()
+		come, changes := a.index, a.changes
+		a.mu.Unlock()
+		if come == 2*rounds {
+			for i, c := range changes {
+				if want := []string{StatusRemoved, StatusUp}[i%2]; c.Status != want {
+					t.Fatalf("change %d is %s", i, c.Status)
+				}
+			}
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%d of %d changes came", come, 2*rounds)
+		}
+	}
+}
