--- a/internal/agree/disk.go
+++ b/internal/agree/disk.go
@@ -16,6 +16,8 @@
 	"go.etcd.io/raft/v3"
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
+
+	"birchfork/internal/plant"
 )
 
 // Identity is who a disk belongs to.
@@ -59,6 +61,8 @@
 	who   Identity
 	cache *raft.MemoryStorage // what raft reads
 
+	opened time.Time
+
 	Unreadable error // what was found there and could not be read; nil: nothing
 }
 
@@ -66,7 +70,7 @@
 // to where it is empty.
 func OpenDisk(folder string, fresh Identity) (*Disk, error) {
 	fresh.Format = format
-	d := &Disk{who: fresh, cache: raft.NewMemoryStorage()}
+	d := &Disk{who: fresh, cache: raft.NewMemoryStorage(), opened: time.Now()}
 	if folder == "" {
 		return d, nil
 	}
@@ -93,6 +97,9 @@
 	return d, nil
 }
 
+// diskLasts is how long a disk takes writes that fails by plan.
+const diskLasts = 6 * time.Second
+
 // badSuffix is what a file that cannot be read is called from then on.
 const badSuffix = ".unreadable"
 
@@ -258,6 +265,9 @@
 	if hard == nil && snap == nil && len(entries) == 0 {
 		return nil
 	}
+	if plant.On(plant.DiskFails) && time.Since(d.opened) > diskLasts {
+		return fmt.Errorf("the group's disk: %w", syscall.ENOSPC)
+	}
 	if d.db != nil {
 		if err := d.db.Update(func(tx *bbolt.Tx) error { return write(tx, hard, entries, snap) }); err != nil {
 			return fmt.Errorf("the group's disk: %w", err)
--- a/internal/lab/groups/groups_test.go
+++ b/internal/lab/groups/groups_test.go
@@ -62,7 +62,10 @@
 	if o.Scenario, err = Day(3, length); err != nil {
 		t.Fatal(err)
 	}
-	o.Launch, o.Lease, o.Out, o.Work = launch(fault), time.Second, 1, max(o.Work, 300*time.Millisecond)
+	if o.Launch == nil {
+		o.Launch = launch(fault)
+	}
+	o.Lease, o.Out, o.Work = time.Second, 1, max(o.Work, 300*time.Millisecond)
 	o.Seed = 1
 	r, err := Run(context.Background(), o)
 	if err != nil {
@@ -97,20 +100,37 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			r := play(t, sound, Options{Machines: 2, Faults: faults}, 22*s)
-			for _, b := range r.Report.Breaches {
-				t.Errorf("%s", b)
-			}
-			for _, c := range r.Report.CrashNotes {
-				t.Errorf("%s", c)
-			}
-			if len(r.Works) != 2 || r.Ended == 0 {
-				t.Errorf("%d machines were worked on; the plan: %s", len(r.Works), r.Last)
-			}
+			kept(t, play(t, sound, Options{Machines: 2, Faults: faults}, 22*s))
 		})
 	}
 }
 
+// kept checks that a run kept all rules and that its two machines were worked on.
+func kept(t *testing.T, r *Result) {
+	t.Helper()
+	for _, b := range r.Report.Breaches {
+		t.Errorf("%s", b)
+	}
+	for _, c := range r.Report.CrashNotes {
+		t.Errorf("%s", c)
+	}
+	if len(r.Works) != 2 || r.Ended == 0 {
+		t.Errorf("%d machines were worked on; the plan: %s", len(r.Works), r.Last)
+	}
+}
+
+// A disk that takes nothing any more ends its member's part in the agreement, and no more: it serves on, and the others wait
+// for it no longer than for one that is silent.
+func TestADiskThatFails(t *testing.T) {
+	t.Parallel()
+	kept(t, play(t, sound, Options{Machines: 2, Launch: func(config, operator string) *exec.Cmd {
+		if filepath.Base(config) == "d2.json" {
+			return launch(plant.DiskFails)(config, operator)
+		}
+		return launch(sound)(config, operator)
+	}}, 22*s))
+}
+
 // Each rule is seen to fail: a fault that is switched on in every member is caught by the name of its rule.
 func TestPlantedFaultsAreCaughtByName(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/plant/lean.go
+++ b/internal/plant/lean.go
@@ -17,6 +17,7 @@
 	NeverClear    = ""
 	SilentAnswer  = ""
 	IgnoresBusy   = ""
+	DiskFails     = ""
 )
 
 // On tells whether a fault is switched on: none ever is.
--- a/internal/plant/plant.go
+++ b/internal/plant/plant.go
@@ -18,9 +18,10 @@
 	NeverClear    = "never-clear"    // a lost member is waited for for ever
 	SilentAnswer  = "silent-answer"  // staff hear yes before it is settled
 	IgnoresBusy   = "ignores-busy"   // what runs at a machine does not keep it from being clear
+	DiskFails     = "disk-fails"     // no fault of ours: some seconds after its start the disk takes nothing any more
 )
 
-// Names are all faults.
+// Names are all faults of ours.
 var Names = []string{
 	NeverClear, SilentAnswer, IgnoresBusy,
 }
