Give lab group scenarios, and let every planted fault be asked for again

Scenarios now stand in one file that tests and the command share (`lab group list`, `lab group SCENARIO`, a file of one's own, `--html`); each fault that can be planted has to have one that catches it, and flags and files are checked by key. The tests' own tables are gone.

--- a/cmd/birchfork/labgroup.go
+++ b/cmd/birchfork/labgroup.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -15,6 +16,7 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"text/tabwriter"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -27,61 +29,108 @@
 
 // labGroup plays groups.
 type labGroup struct {
-	Members  int           `help:"Members, each a process of its own." default:"3"`
+	Play labGroupPlay `cmd:"" default:"withargs" help:"Play it."`
+	List labGroupList `cmd:"" help:"List the scenarios that come with the program, the kinds of faults and the faults that can be planted."`
+}
+
+type labGroupPlay struct {
+	Scenario string        `arg:"" optional:"" help:"A scenario that comes with the program, or a TOML file with some, with a / or . in its name. With none faults are drawn."`
+	Members  int           `help:"Members, each a process of its own, in place of the scenario's 3." placeholder:"N"`
 	Seed     uint64        `help:"What the day and its faults are drawn by; with --runs, of the first run." default:"1"`
 	Runs     int           `help:"So many runs, one after the other, each with the next seed." default:"1"`
-	For      time.Duration `help:"Length of a run." default:"20s"`
-	Storm    int           `help:"Faults that are drawn from the seed." default:"4"`
-	Machines int           `help:"Machines of the plan." default:"3"`
-	Out      int           `help:"Machines that may be away at a time." default:"1"`
-	Work     time.Duration `help:"How long staff have each machine." default:"500ms"`
-	Lease    time.Duration `help:"The group's lease." default:"1s"`
+	For      time.Duration `help:"Length of a run in place of the scenario's 22s." placeholder:"TIME"`
+	Storm    int           `help:"Faults that are drawn from the seed; 4 where no scenario is named." default:"-1" placeholder:"N"`
+	Machines int           `help:"Machines of the plan in place of the scenario's 2." default:"-1" placeholder:"N"`
+	Out      int           `help:"Machines that may be away at a time in place of the scenario's 1." placeholder:"N"`
+	Work     time.Duration `help:"How long staff have each machine, in place of the scenario's." placeholder:"TIME"`
+	Lease    time.Duration `help:"The group's lease in place of the scenario's 1s." placeholder:"TIME"`
 	Diskless bool          `help:"Members keep nothing over a restart."`
 	Plant    string        `help:"Switch this fault on in every member, to see the judge catch it." placeholder:"FAULT"`
 	JSON     string        `help:"Keep the results in this file, a line a run." placeholder:"FILE" name:"json"`
+	HTML     string        `help:"Draw the last run as a page in this file." placeholder:"FILE" name:"html"`
 }
 
-// Run plays runs until all are through.
-func (l *labGroup) Run(out output) error {
+// load returns the scenarios with what the flags put in place of theirs.
+func (l *labGroupPlay) load() ([]groups.Scenario, error) {
 	if l.Plant != "" && !slices.Contains(plant.Names, l.Plant) {
-		return fmt.Errorf("--plant: %q is none of %s", l.Plant, strings.Join(plant.Names, ", "))
+		return nil, fmt.Errorf("--plant: %q is none of %s", l.Plant, strings.Join(plant.Names, ", "))
+	}
+	name := l.Scenario
+	if name == "" && l.Plant != "" {
+		name = "proof-" + l.Plant
+	}
+	all := []groups.Scenario{groups.Usual()}
+	all[0].Name, all[0].Storm = "storm", 4
+	if name != "" {
+		var err error
+		if all, err = groups.Load(name); err != nil {
+			return nil, err
+		}
+	}
+	if l.Runs < 1 {
+		return nil, errors.New("--runs is above 0")
+	}
+	for i := range all {
+		s := &all[i]
+		s.Members, s.For, s.Out = cmp.Or(l.Members, s.Members), cmp.Or(l.For, s.For), cmp.Or(l.Out, s.Out)
+		s.Work, s.Lease, s.Plant = cmp.Or(l.Work, s.Work), cmp.Or(l.Lease, s.Lease), cmp.Or(l.Plant, s.Plant)
+		s.Diskless = s.Diskless || l.Diskless
+		if l.Storm != -1 {
+			s.Storm = l.Storm
+		}
+		if l.Machines != -1 {
+			s.Machines = l.Machines
+		}
+		if err := s.Check(); err != nil {
+			return nil, err
+		}
+	}
+	return all, nil
+}
+
+// Run plays runs until all are through.
+func (l *labGroupPlay) Run(out output) error {
+	all, err := l.load()
+	if err != nil {
+		return err
 	}
 	exe, err := self()
 	if err != nil {
 		return fmt.Errorf("finding this program: %w", err)
 	}
-	o := groups.Options{
-		Storm: l.Storm, Lease: l.Lease, Work: l.Work, Out: l.Out, Machines: l.Machines, Diskless: l.Diskless,
-		Launch: func(config, operator string) *exec.Cmd {
-			if l.Plant != "" {
-				return exec.Command(exe, "lab", "member", "--plant", l.Plant, "--config", config, "--operator", operator)
-			}
-			return exec.Command(exe, "serve", "--config", config, "--operator", operator)
-		},
-	}
+	o := groups.Options{Launch: func(fault, config, operator string) *exec.Cmd {
+		if fault != "" {
+			return exec.Command(exe, "lab", "member", "--plant", fault, "--config", config, "--operator", operator)
+		}
+		return exec.Command(exe, "serve", "--config", config, "--operator", operator)
+	}}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	var sum groups.Sum
 	for i := 0; i < l.Runs && ctx.Err() == nil; i++ {
 		o.Seed = l.Seed + uint64(i)
-		if o.Scenario, err = groups.Day(l.Members, l.For); err != nil {
-			return err
-		}
-		r, err := groups.Run(ctx, o)
-		if err != nil {
-			return fmt.Errorf("seed %d: %w", o.Seed, err)
-		}
-		sum.Add(r)
-		fmt.Fprintln(out.std, r.Line(o.Seed))
-		for _, b := range r.Report.Breaches {
-			fmt.Fprintln(out.std, "   ", b)
-		}
-		for _, c := range r.Report.CrashNotes {
-			fmt.Fprintln(out.std, "   ", c)
-		}
-		if l.JSON != "" {
-			if err := r.Append(l.JSON, o.Seed); err != nil {
-				return err
+		for _, o.Scenario = range all {
+			r, err := groups.Run(ctx, o)
+			if err != nil {
+				return fmt.Errorf("seed %d: %w", o.Seed, err)
+			}
+			sum.Add(r)
+			fmt.Fprintln(out.std, r.Line(o.Seed))
+			for _, b := range r.Report.Breaches {
+				fmt.Fprintln(out.std, "   ", b)
+			}
+			for _, c := range r.Report.CrashNotes {
+				fmt.Fprintln(out.std, "   ", c)
+			}
+			if l.JSON != "" {
+				if err := r.Append(l.JSON, o.Seed); err != nil {
+					return err
+				}
+			}
+			if l.HTML != "" {
+				if err := r.Report.HTML(l.HTML); err != nil {
+					return err
+				}
 			}
 		}
 	}
@@ -92,6 +141,28 @@
 	return nil
 }
 
+type labGroupList struct {
+	Text bool `help:"Print the scenarios as a file to begin from."`
+}
+
+// Run lists what there is.
+func (l *labGroupList) Run(out output) error {
+	if l.Text {
+		_, err := fmt.Fprint(out.std, groups.Shipped())
+		return err
+	}
+	all, err := groups.Decode("shipped.toml", []byte(groups.Shipped()))
+	if err != nil {
+		return err
+	}
+	t := tabwriter.NewWriter(out.std, 0, 0, 2, ' ', 0)
+	for _, s := range all {
+		fmt.Fprintf(t, "%s\t%s\n", s.Name, s.About)
+	}
+	fmt.Fprintf(t, "\nfaults\t%s\nplanted\t%s\nrules\t%s\n", strings.Join(groups.Kinds, ", "), strings.Join(plant.Names, ", "), strings.Join(groups.Rules, ", "))
+	return t.Flush()
+}
+
 // labHistories plays simulated histories.
 type labHistories struct {
 	Members int    `help:"Members." default:"3"`
@@ -109,8 +180,8 @@
 	if l.Fault != "" && !slices.Contains(histories.Faults, l.Fault) {
 		return fmt.Errorf("--fault: %q is none of: %s", l.Fault, strings.Join(histories.Faults, "; "))
 	}
-	if l.Members < 1 || l.Voters < 1 || l.Voters > l.Members || l.Runs < 1 {
-		return errors.New("--members, --voters and --runs are above 0, and no more vote than there are")
+	if l.Members < 1 || l.Voters < 1 || l.Voters > l.Members || l.Runs < 1 || l.Ticks < 1 || l.Calm < 1 {
+		return errors.New("--members, --voters, --runs, --ticks and --calm are above 0, and no more vote than there are")
 	}
 	var next atomic.Int64
 	var mu sync.Mutex
@@ -154,7 +225,7 @@
 
 // Run serves with the fault.
 func (l *labMember) Run(out output) error {
-	if !slices.Contains(plant.Names, l.Plant) {
+	if !slices.Contains(append([]string{plant.DiskFails}, plant.Names...), l.Plant) {
 		return errors.New("--plant: there is no such fault")
 	}
 	plant.Set(l.Plant)
--- a/internal/lab/groups/groups.go
+++ b/internal/lab/groups/groups.go
@@ -18,20 +18,14 @@
 	"birchfork/internal/lab/report"
 	"birchfork/internal/lab/scenario"
 	"birchfork/internal/outage"
+	"birchfork/internal/plant"
 )
 
 // Options is what a run is made of.
 type Options struct {
-	Scenario *scenario.Scenario // its dispatchers are the members
-	Seed     uint64
-	Launch   func(config, operator string) *exec.Cmd
-	Faults   []Fault
-	Storm    int           // further faults, drawn from the seed
-	Lease    time.Duration // of the group
-	Work     time.Duration // that staff have each machine
-	Out      int           // machines away at a time
-	Machines int           // of the plan, one runner each; 0: no plan
-	Diskless bool          // members keep nothing
+	Scenario
+	Seed   uint64
+	Launch func(plant, config, operator string) *exec.Cmd // starts a member with a fault; empty: with none
 }
 
 // The kinds of faults.
@@ -59,10 +53,10 @@
 
 // Fault is one fault of the timetable.
 type Fault struct {
-	Kind   string
-	Member int           // -1: the one that leads then
-	At     time.Duration // since the group was founded and its plan ran
-	For    time.Duration
+	Kind   string        `toml:"kind"`
+	Member int           `toml:"member"` // -1: the one that leads then
+	At     time.Duration `toml:"at"`     // since the group was founded and its plan ran
+	For    time.Duration `toml:"for"`
 
 	other int // whom it is apart from
 }
@@ -97,6 +91,7 @@
 // rig is one run.
 type rig struct {
 	o     Options
+	day   *scenario.Scenario
 	dir   string
 	real  []string // where each member listens for the others
 	links map[[2]int]*link
@@ -123,8 +118,14 @@
 
 // Run plays a day with a group.
 func Run(ctx context.Context, o Options) (*Result, error) {
+	if err := o.Check(); err != nil {
+		return nil, err
+	}
 	g := &rig{o: o, links: map[[2]int]*link{}, result: &Result{}, busy: map[int]bool{}}
 	var err error
+	if g.day, err = day(o.Members, o.For); err != nil {
+		return nil, err
+	}
 	if g.dir, err = os.MkdirTemp("", "birchfork-group-"); err != nil {
 		return nil, fmt.Errorf("a folder for the members: %w", err)
 	}
@@ -139,10 +140,14 @@
 	}
 	g.result.Faults = append(slices.Clone(o.Faults), g.draw()...)
 	rep, err := lab.Run(ctx, lab.Options{
-		Scenario: o.Scenario, Seed: o.Seed, Policy: lab.PolicyRules, Beside: g.play, Judge: g.judge,
+		Scenario: g.day, Seed: o.Seed, Policy: lab.PolicyRules, Beside: g.play, Judge: g.judge,
 		Launch: func(config string) *exec.Cmd {
 			name := strings.TrimSuffix(filepath.Base(config), ".json")
-			cmd := o.Launch(config, g.operator(name))
+			fault := o.Plant
+			if o.Failing > 0 && name == fmt.Sprintf("d%d", o.Failing) {
+				fault = plant.DiskFails
+			}
+			cmd := o.Launch(fault, config, g.operator(name))
 			if cmd.Env == nil {
 				cmd.Env = os.Environ()
 			}
@@ -181,7 +186,7 @@
 
 // lay lays the links and writes the members' files.
 func (g *rig) lay() error {
-	n := g.o.Scenario.Dispatchers
+	n := g.o.Members
 	var err error
 	if g.real, err = lab.FreeAddresses(n); err != nil {
 		return err
@@ -222,9 +227,9 @@
 // draw draws further faults from the seed, over the middle of the day.
 func (g *rig) draw() (out []Fault) {
 	r := rand.New(rand.NewPCG(g.o.Seed, 77))
-	length := g.o.Scenario.For
+	length := g.o.For
 	for range g.o.Storm {
-		f := Fault{Kind: Kinds[r.IntN(len(Kinds))], Member: r.IntN(g.o.Scenario.Dispatchers+1) - 1}
+		f := Fault{Kind: Kinds[r.IntN(len(Kinds))], Member: r.IntN(g.o.Members+1) - 1}
 		if f.Kind == Down { // one that is in no plan
 			f.Member = r.IntN(3)
 		}
--- a/internal/lab/groups/groups_test.go
+++ b/internal/lab/groups/groups_test.go
@@ -6,8 +6,9 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strings"
 	"testing"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -46,119 +47,72 @@
 	}
 }
 
-func launch(fault string) func(config, operator string) *exec.Cmd {
-	return func(config, operator string) *exec.Cmd {
-		cmd := exec.Command(os.Args[0], config, operator)
-		cmd.Env = append(os.Environ(), asMember+"="+fault)
-		return cmd
+func launch(fault, config, operator string) *exec.Cmd {
+	if fault == "" {
+		fault = sound
 	}
+	cmd := exec.Command(os.Args[0], config, operator)
+	cmd.Env = append(os.Environ(), asMember+"="+fault)
+	return cmd
 }
 
-const s = time.Second
-
-func play(t *testing.T, fault string, o Options, length time.Duration) *Result {
-	t.Helper()
-	var err error
-	if o.Scenario, err = Day(3, length); err != nil {
-		t.Fatal(err)
-	}
-	if o.Launch == nil {
-		o.Launch = launch(fault)
-	}
-	o.Lease, o.Out, o.Work = time.Second, 1, max(o.Work, 300*time.Millisecond)
-	o.Seed = 1
-	r, err := Run(context.Background(), o)
+// Every scenario that comes with the program: real processes of it with faults between them. All rules hold and the plan goes
+// through; a planted fault is caught by the name of its rule, and each fault has a scenario that catches it.
+func TestScenarios(t *testing.T) {
+	all, err := Decode("shipped.toml", shipped)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Log(r.Line(o.Seed))
-	return r
-}
-
-// Three processes and a fault between them: all rules hold, and the plan goes through.
-func TestFaultsBetweenProcesses(t *testing.T) {
-	for name, faults := range map[string][]Fault{
-		"a member is cut off":                 {{Kind: Cut, Member: 2, At: 0, For: 8 * s}},
-		"the leader is cut off":               {{Kind: Cut, Member: -1, At: 0, For: 8 * s}},
-		"a member hears nothing":              {{Kind: Deaf, Member: 2, At: 0, For: 8 * s}},
-		"nobody hears the leader":             {{Kind: Mute, Member: -1, At: 0, For: 6 * s}},
-		"links break, crawl and lag":          {{Kind: Torn, Member: 1, At: 0, For: 3 * s}, {Kind: Narrow, Member: 2, At: 1 * s, For: 4 * s}, {Kind: Slow, Member: 0, At: 2 * s, For: 4 * s}},
-		"the leader stands still and wakes":   {{Kind: Stop, Member: -1, At: s / 2, For: 4 * s}},
-		"a member stands still and wakes":     {{Kind: Stop, Member: 2, At: s / 2, For: 6 * s}},
-		"the leader is killed":                {{Kind: Kill, Member: -1, At: s / 2, For: 3 * s}},
-		"a member comes back without a disk":  {{Kind: Wipe, Member: 2, At: s / 2, For: 2 * s}},
-		"the leader comes back without one":   {{Kind: Wipe, Member: -1, At: s / 2, For: 2 * s}},
-		"a disk of six seconds ago":           {{Kind: Old, Member: 2, At: 0, For: 6 * s}, {Kind: Cut, Member: 0, At: 8 * s, For: 5 * s}},
-		"the leader is restarted in order":    {{Kind: Term, Member: -1, At: s / 2, For: 0}},
-		"one comes back without, cut off":     {{Kind: Cut, Member: 2, At: 0, For: 7 * s}, {Kind: Wipe, Member: 2, At: s / 2, For: s}},
-		"a worker dies meanwhile":             {{Kind: Down, Member: 1, At: 0, For: 7 * s}},
-		"a member reaches all but the leader": {{Kind: Apart, Member: 2, At: 0, For: 10 * s}},
-		"a cut heals and comes back":          {{Kind: Flap, Member: -1, At: 0, For: 8 * s}},
-		"the leader is upgraded":              {{Kind: Renew, Member: -1, At: s / 2, For: 0}},
-		"a member is upgraded, cut off":       {{Kind: Cut, Member: 2, At: 0, For: 5 * s}, {Kind: Renew, Member: 2, At: s, For: 0}},
-		"all are restarted one by one":        {{Kind: Term, Member: 0, At: s / 2, For: 0}, {Kind: Term, Member: 1, At: 4 * s, For: 0}, {Kind: Term, Member: 2, At: 8 * s, For: 0}},
-	} {
-		t.Run(name, func(t *testing.T) {
+	for _, name := range plant.Names {
+		if !slices.ContainsFunc(all, func(s Scenario) bool { return s.Plant == name && s.Caught != "" }) {
+			t.Errorf("no scenario catches %s", name)
+		}
+	}
+	for _, s := range all {
+		t.Run(s.Name, func(t *testing.T) {
 			t.Parallel()
-			kept(t, play(t, sound, Options{Machines: 2, Faults: faults}, 22*s))
+			r, err := Run(context.Background(), Options{Scenario: s, Seed: 1, Launch: launch})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Log(r.Line(1))
+			if s.Caught != "" {
+				if r.broken()[s.Caught] == 0 {
+					t.Errorf("rule %q was not seen to break", s.Caught)
+				}
+				return
+			}
+			for _, b := range r.Report.Breaches {
+				t.Errorf("%s", b)
+			}
+			for _, c := range r.Report.CrashNotes {
+				t.Errorf("%s", c)
+			}
+			if len(r.Works) != s.Machines || r.Ended == 0 {
+				t.Errorf("%d machines were worked on; the plan: %s", len(r.Works), r.Last)
+			}
 		})
 	}
 }
 
-// kept checks that a run kept all rules and that its two machines were worked on.
-func kept(t *testing.T, r *Result) {
-	t.Helper()
-	for _, b := range r.Report.Breaches {
-		t.Errorf("%s", b)
-	}
-	for _, c := range r.Report.CrashNotes {
-		t.Errorf("%s", c)
-	}
-	if len(r.Works) != 2 || r.Ended == 0 {
-		t.Errorf("%d machines were worked on; the plan: %s", len(r.Works), r.Last)
-	}
-}
-
-// A disk that takes nothing any more ends its member's part in the agreement, and no more: it serves on, and the others wait
-// for it no longer than for one that is silent.
-func TestADiskThatFails(t *testing.T) {
-	t.Parallel()
-	kept(t, play(t, sound, Options{Machines: 2, Launch: func(config, operator string) *exec.Cmd {
-		if filepath.Base(config) == "d2.json" {
-			return launch(plant.DiskFails)(config, operator)
-		}
-		return launch(sound)(config, operator)
-	}}, 22*s))
-}
-
-// Each rule is seen to fail: a fault that is switched on in every member is caught by the name of its rule.
-func TestPlantedFaultsAreCaughtByName(t *testing.T) {
-	for _, c := range []struct {
-		fault, rule string
-		o           Options
-	}{
-		{plant.NoLease, ClearRule, Options{Faults: []Fault{{Kind: Cut, Member: 2, At: 0, For: 20 * s}}, Work: 4 * s}},
-		{plant.LongLease, ClearRule, Options{Faults: []Fault{{Kind: Cut, Member: 2, At: 0, For: 20 * s}}, Work: 4 * s}},
-		{plant.FewWords, ClearRule, Options{Faults: []Fault{{Kind: Slow, Member: 2, At: 0, For: 20 * s}}, Machines: 4}},
-		{plant.IgnoresBusy, ClearRule, Options{Machines: 5}},
-		{plant.ForgetsOut, ClearRule, Options{Faults: []Fault{{Kind: Kill, Member: 2, At: 1 * s, For: s}}, Work: 8 * s}},
-		{plant.SeesAnyway, ClearRule, Options{Faults: []Fault{{Kind: Cut, Member: 2, At: 0, For: 9 * s}, {Kind: Wipe, Member: 2, At: 5 * s, For: s}}, Work: 6 * s}},
-		{plant.NoBudget, BudgetRule, Options{Work: 2 * s}},
-		{plant.DeadUncounted, BudgetRule, Options{Faults: []Fault{{Kind: Down, Member: 1, At: 0, For: 12 * s}}, Machines: 6}},
-		{plant.OwnOrder, OrderRule, Options{Faults: []Fault{{Kind: Term, Member: -1, At: s / 2, For: 0}}, Machines: 5}},
-		{plant.SilentAnswer, OrderRule, Options{Faults: []Fault{{Kind: Slow, Member: 1, At: 0, For: 9 * s}, {Kind: Slow, Member: 2, At: 0, For: 9 * s}}}},
-		{plant.ActsTwice, GoesOnRule, Options{}},
-		{plant.NeverClear, GoesOnRule, Options{Faults: []Fault{{Kind: Cut, Member: 2, At: 0, For: 30 * s}}}},
+// What is wrong with a scenario is told by line and key, all at once.
+func TestBadScenarios(t *testing.T) {
+	_, err := Decode("f", []byte(`[[scenario]]
+members = 2
+machines = 20
+out = 0
+for = "1s"
+plant = "nope"
+[[scenario.fault]]
+kind = "rain"
+member = 7
+`))
+	for _, want := range []string{
+		"f:2: scenario[0].members: 2", "f:3: scenario[0].machines: 20", "f:4: scenario[0].out: 0", "f:5: scenario[0].for: 1s",
+		`f:6: scenario[0].plant: "nope"`, `f:8: scenario[0].fault[0].kind: "rain"`, "f:9: scenario[0].fault[0].member: there is no member 7",
 	} {
-		t.Run(c.fault, func(t *testing.T) {
-			t.Parallel()
-			if c.o.Machines == 0 {
-				c.o.Machines = 2
-			}
-			r := play(t, c.fault, c.o, 26*s)
-			if r.broken()[c.rule] == 0 {
-				t.Errorf("rule %q was not seen to break", c.rule)
-			}
-		})
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q is not in: %v", want, err)
+		}
 	}
 }
--- a/internal/lab/groups/result.go
+++ b/internal/lab/groups/result.go
@@ -14,8 +14,8 @@
 	"birchfork/internal/lab/scenario"
 )
 
-// Day is a usual day for so many members: short jobs, quick lists, no trouble of its own.
-func Day(members int, length time.Duration) (*scenario.Scenario, error) {
+// day is a usual day for so many members: short jobs, quick lists, no trouble of its own.
+func day(members int, length time.Duration) (*scenario.Scenario, error) {
 	s, err := scenario.Load("calm")
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/lab/groups/scenarios.go
@@ -0,0 +1,153 @@
+package groups
+
+import (
+	_ "embed"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"birchfork/internal/plant"
+	"birchfork/internal/tomlfile"
+)
+
+// Scenario is a timetable of faults, with the group that it is for.
+type Scenario struct {
+	Name     string        `toml:"name"`
+	About    string        `toml:"about"`
+	Members  int           `toml:"members"`
+	For      time.Duration `toml:"for"`      // of the whole day
+	Machines int           `toml:"machines"` // of the plan, one runner each; 0: no plan
+	Out      int           `toml:"out"`      // machines away at a time
+	Work     time.Duration `toml:"work"`     // that staff have each machine
+	Lease    time.Duration `toml:"lease"`
+	Diskless bool          `toml:"diskless"` // members keep nothing over a restart
+	Storm    int           `toml:"storm"`    // further faults, drawn from the seed
+	Failing  int           `toml:"failing"`  // the member whose disk takes nothing any more after a while; 0: none
+	Plant    string        `toml:"plant"`    // a fault that is switched on in every member ...
+	Caught   string        `toml:"caught"`   // ... and the rule that has to break by it
+	Faults   []Fault       `toml:"fault"`
+}
+
+// Bounds on a scenario: the day has nine workers.
+const (
+	membersLeast = 3
+	membersMost  = 50
+	machinesMost = 6 // three are left for the rest, and for workers that die by themselves
+	dayLeast     = 10 * time.Second
+	dayMost      = time.Hour
+	leaseLeast   = time.Second
+)
+
+// Usual is what a scenario has that says nothing.
+func Usual() Scenario {
+	return Scenario{Members: 3, For: 22 * time.Second, Machines: 2, Out: 1, Work: 300 * time.Millisecond, Lease: time.Second}
+}
+
+// Faults names all that is wrong with a scenario, by key.
+func (s *Scenario) faults(fault func(key, format string, v ...any)) {
+	if s.Members < membersLeast || s.Members > membersMost {
+		fault("members", "%d is not from %d to %d", s.Members, membersLeast, membersMost)
+	}
+	if s.Machines < 0 || s.Machines > machinesMost {
+		fault("machines", "%d is not from 0 to %d", s.Machines, machinesMost)
+	}
+	if s.Out < 1 {
+		fault("out", "%d is not above 0", s.Out)
+	}
+	if s.For < dayLeast || s.For > dayMost {
+		fault("for", "%v is not from %v to %v", s.For, dayLeast, dayMost)
+	}
+	if s.Lease < leaseLeast {
+		fault("lease", "%v is less than %v", s.Lease, leaseLeast)
+	}
+	if s.Work < 0 || s.Storm < 0 {
+		fault("work", "work and storm are not below 0")
+	}
+	if s.Failing < 0 || s.Failing >= max(s.Members, 1) {
+		fault("failing", "there is no member %d", s.Failing)
+	}
+	if s.Plant != "" && !slices.Contains(plant.Names, s.Plant) {
+		fault("plant", "%q is none of %s", s.Plant, strings.Join(plant.Names, ", "))
+	}
+	if s.Caught != "" && !slices.Contains(Rules, s.Caught) {
+		fault("caught", "%q is none of %s", s.Caught, strings.Join(Rules, ", "))
+	}
+	for i, f := range s.Faults {
+		key := fmt.Sprintf("fault[%d].", i)
+		if !slices.Contains(Kinds, f.Kind) {
+			fault(key+"kind", "%q is none of %s", f.Kind, strings.Join(Kinds, ", "))
+		}
+		if f.Member < -1 || f.Member >= max(s.Members, 1) {
+			fault(key+"member", "there is no member %d; -1 is the one that leads then", f.Member)
+		}
+		if f.At < 0 || f.For < 0 {
+			fault(key+"at", "at and for are not below 0")
+		}
+	}
+}
+
+// Check names all that is wrong with a scenario that no file has, such as flags'.
+func (s *Scenario) Check() error {
+	var all []string
+	s.faults(func(key, format string, v ...any) { all = append(all, key+": "+fmt.Sprintf(format, v...)) })
+	if len(all) > 0 {
+		return fmt.Errorf("%s", strings.Join(all, "\n"))
+	}
+	return nil
+}
+
+//go:embed shipped.toml
+var shipped []byte
+
+// Shipped is the text of the scenarios that come with the program.
+func Shipped() string { return string(shipped) }
+
+// Load reads the scenarios of a file, or, where name has no / or ., the one that comes with the program under it.
+func Load(name string) ([]Scenario, error) {
+	if !strings.ContainsAny(name, "/.") {
+		all, err := Decode("shipped.toml", shipped)
+		if err != nil {
+			return nil, err
+		}
+		if i := slices.IndexFunc(all, func(s Scenario) bool { return s.Name == name }); i >= 0 {
+			return all[i : i+1], nil
+		}
+		return nil, fmt.Errorf("no scenario %q comes with the program; `lab group list` has them, and a file has a / or . in its name", name)
+	}
+	raw, err := os.ReadFile(name)
+	if err != nil {
+		return nil, fmt.Errorf("reading the scenarios: %w", err)
+	}
+	return Decode(name, raw)
+}
+
+// Decode reads scenarios. Its error names every fault.
+func Decode(name string, raw []byte) ([]Scenario, error) {
+	var f struct {
+		All []Scenario `toml:"scenario"`
+	}
+	d := tomlfile.Read(name, raw, &f)
+	if len(d.Faults()) > 0 {
+		return nil, d.Err()
+	}
+	if len(f.All) == 0 {
+		d.Fault("scenario", "there is none: [[scenario]] begins one")
+	}
+	for i := range f.All {
+		s, key := &f.All[i], fmt.Sprintf("scenario[%d].", i)
+		usual := Usual()
+		for k, take := range map[string]func(){
+			"members": func() { s.Members = usual.Members }, "for": func() { s.For = usual.For },
+			"machines": func() { s.Machines = usual.Machines }, "out": func() { s.Out = usual.Out },
+			"work": func() { s.Work = usual.Work }, "lease": func() { s.Lease = usual.Lease },
+		} {
+			if !d.Has(key + k) {
+				take()
+			}
+		}
+		s.faults(func(k, format string, v ...any) { d.Fault(key+k, format, v...) })
+	}
+	return f.All, d.Err()
+}
--- a/internal/plant/plant.go
+++ b/internal/plant/plant.go
@@ -23,7 +23,8 @@
 
 // Names are all faults of ours.
 var Names = []string{
-	NeverClear, SilentAnswer, IgnoresBusy,
+	NoLease, LongLease, FewWords, NoBudget, DeadUncounted, OwnOrder, ActsTwice, ForgetsOut, SeesAnyway, NeverClear, SilentAnswer,
+	IgnoresBusy,
 }
 
 var on string
