Skip machines that staff never had, and let broken ones be taken for repair

A machine that was put back before anyone was told that it is clear (skip, abort, overdue) was shown as done; it ends as skipped. Two machines that had died stood in each other's way where one may be away, and one in a dead zone was "the last of its zone": what is away already costs nothing more when it is taken, so only what plans have counts against it. A call that is made again after the plan's end is answered. With no plan under way the leader copies no state ten times a second.

--- a/internal/outage/advance.go
+++ b/internal/outage/advance.go
@@ -54,6 +54,9 @@
 
 // Would tells whether an entry would settle anything.
 func (s *State) Would(a *Advance) bool {
+	if a.Bound <= s.Bound && !slices.ContainsFunc(s.Plans, func(u *Under) bool { return u.Phase.open() }) {
+		return false // the usual case, asked often
+	}
 	c, err := s.Clone()
 	if err != nil {
 		return false
@@ -98,7 +101,7 @@
 		if took >= r.Bound && r.Bound > 0 && !plant.On(plant.NeverClear) || len(r.held(p, a)) == 0 {
 			r.step(u, p, Clear)
 		} else if r.overdue(u, p, took, u.Leave) && u.Overdue == Skip {
-			r.step(u, p, Returning)
+			r.putBack(u, p)
 		}
 	case Out:
 		r.overdue(u, p, took, u.Work)
@@ -113,7 +116,11 @@
 			r.step(u, p, Warm)
 		}
 	case Warm:
-		r.step(u, p, Done)
+		if p.Left {
+			r.step(u, p, Skipped)
+		} else {
+			r.step(u, p, Done)
+		}
 	}
 }
 
@@ -168,6 +175,7 @@
 type unit struct {
 	runners []string
 	away    bool
+	taken   bool // by a plan
 }
 
 // units are all of the fleet, by name, with whether each is away: by a plan, by hand, by itself, or not warm yet.
@@ -182,7 +190,8 @@
 			if p.Step.over() {
 				continue
 			}
-			n := &unit{runners: p.Runners, away: p.Step != Waiting && p.Step != Warm}
+			taken := p.Step != Waiting && p.Step != Warm
+			n := &unit{runners: p.Runners, away: taken, taken: taken}
 			out["machine "+p.Name] = n
 			for _, r := range p.Runners {
 				of[r] = n
@@ -244,14 +253,17 @@
 
 // forbids says why a machine may not be taken now; empty where it may.
 func (s *State) forbids(u *Under, p *Place, a *Advance, units map[string]*unit) string {
+	// What is away by itself costs nothing more when it is taken: then what plans have counts alone. Else two machines that died
+	// would stand in each other's way, and in the way of their repair.
 	key := "machine " + p.Name
+	broken := units[key].away
 	var all, gone []string
 	fleet, total, stays := 0, 0.0, 0.0
 	zones, kinds := map[string]int{}, map[string]int{}
 	left := map[string]bool{} // zones and kinds that keep a runner
 	for _, name := range slices.Sorted(maps.Keys(units)) {
 		n := units[name]
-		away := n.away || name == key
+		away := n.away && (!broken || n.taken) || name == key
 		inZone, inKind := map[string]bool{}, map[string]bool{}
 		for _, w := range n.runners {
 			r, ok := a.Fleet[w]
@@ -281,6 +293,9 @@
 	if plant.On(plant.NoBudget) {
 		return ""
 	}
+	if fleet > u.Out && broken {
+		return fmt.Sprintf("%d machines would be taken, %d may be%s", fleet, u.Out, others(gone))
+	}
 	if fleet > u.Out {
 		return fmt.Sprintf("%d machines would be away, %d may be%s", fleet, u.Out, others(gone))
 	}
@@ -293,13 +308,14 @@
 			return fmt.Sprintf("%d machines of zone %s would be away, %d may be", zones[r.Zone], r.Zone, u.ZoneOut)
 		case u.KindOut > 0 && kinds[r.Kind] > u.KindOut:
 			return fmt.Sprintf("%d machines of kind %s would be away, %d may be", kinds[r.Kind], r.Kind, u.KindOut)
+		case broken:
 		case !left["zone "+r.Zone]:
 			return fmt.Sprintf("it is the last of zone %s", r.Zone)
 		case !left["kind "+r.Kind]:
 			return fmt.Sprintf("it is the last of kind %s", r.Kind)
 		}
 	}
-	if stays < u.Capacity*total {
+	if stays < u.Capacity*total && !broken {
 		return fmt.Sprintf("%.0f%% of the capacity would stay, %.0f%% has to", 100*stays/total, 100*u.Capacity)
 	}
 	if len(all) == 0 {
--- a/internal/outage/calls.go
+++ b/internal/outage/calls.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 )
 
 // run carries one entry out.
@@ -91,8 +92,19 @@
 	if p.Out < 1 {
 		fault("out: %d machines away at a time are none; at least 1", p.Out)
 	}
-	if p.ZoneOut < 0 || p.KindOut < 0 {
-		fault("zone_out, kind_out: below 0; 0 sets no bound")
+	if p.ZoneOut < 0 {
+		fault("zone_out: %d is below 0; 0 sets no bound", p.ZoneOut)
+	}
+	if p.KindOut < 0 {
+		fault("kind_out: %d is below 0; 0 sets no bound", p.KindOut)
+	}
+	for _, d := range []struct {
+		key string
+		v   time.Duration
+	}{{"leave", p.Leave}, {"work", p.Work}, {"back", p.Back}} {
+		if d.v < 0 {
+			fault("%s: %v is below 0; 0 sets no bound", d.key, d.v)
+		}
 	}
 	if !(p.Capacity >= 0 && p.Capacity <= 1) {
 		fault("capacity: %v is no share from 0 to 1", p.Capacity)
@@ -157,7 +169,7 @@
 			case Waiting:
 				r.step(u, p, Skipped)
 			case Leaving, Clear: // nobody was told so
-				r.step(u, p, Returning)
+				r.putBack(u, p)
 			}
 		}
 		r.close(u)
@@ -170,7 +182,7 @@
 func (r *run) machine(c *Command) (int, string) {
 	u, p := r.Find(c.Name, c.Machine)
 	if p == nil {
-		return Wrong, fmt.Sprintf("no plan under way has a machine %q", c.Machine)
+		return Wrong, fmt.Sprintf("no plan has a machine %q", c.Machine)
 	}
 	switch c.Kind {
 	case Take:
@@ -197,10 +209,12 @@
 	case Waiting, Failed:
 		r.step(u, p, Skipped)
 	case Leaving, Clear:
-		r.step(u, p, Returning)
+		r.putBack(u, p)
 	case Skipped:
-	default:
+	case Out:
 		return Wrong, fmt.Sprintf("%s is %s: say done when it is whole", p.Name, p.Step)
+	default:
+		return Wrong, fmt.Sprintf("%s is %s", p.Name, p.Step)
 	}
 	return Yes, fmt.Sprintf("%s is %s", p.Name, p.Step)
 }
@@ -211,6 +225,12 @@
 	r.tell(u.Name, p.Name, "%s", to)
 }
 
+// putBack has a machine come back that nobody was told to be clear.
+func (r *run) putBack(u *Under, p *Place) {
+	p.Left = true
+	r.step(u, p, Returning)
+}
+
 // close ends a plan that is through with all its machines.
 func (r *run) close(u *Under) {
 	if u.Phase == Ended || slices.ContainsFunc(u.Places, func(p *Place) bool { return !p.Step.over() }) {
--- a/internal/outage/outage.go
+++ b/internal/outage/outage.go
@@ -185,6 +185,7 @@
 	At      uint64        `json:"at"`                // the entry that began the step
 	Since   time.Duration `json:"since"`             // on the group's clock
 	Overdue bool          `json:"overdue,omitempty"` // the step has taken longer than the plan allows
+	Left    bool          `json:"left,omitempty"`    // put back before staff had it: it ends as skipped, not done
 }
 
 // Under is a plan with its machines.
@@ -309,20 +310,29 @@
 	return nil
 }
 
-// Find is the place of a machine in the plan of a name, or, where that is empty, in the one that is under way; nil where
-// there is none.
-func (s *State) Find(plan, machine string) (*Under, *Place) {
+// Find is the place of a machine in the plan of a name, or, where that is empty, in the one that is under way, else handed in,
+// else the newest that has ended: a call that is made again is answered then too. Nil where there is none.
+func (s *State) Find(plan, machine string) (under *Under, place *Place) {
+	rank := func(p Phase) int {
+		switch {
+		case p.open():
+			return 2
+		case p == HandedIn:
+			return 1
+		}
+		return 0
+	}
 	for _, u := range s.Plans {
-		if plan == "" && !u.Phase.open() || plan != "" && u.Name != plan {
+		if plan != "" && u.Name != plan || under != nil && rank(u.Phase) < rank(under.Phase) {
 			continue
 		}
 		for _, p := range u.Places {
 			if p.Name == machine {
-				return u, p
+				under, place = u, p
 			}
 		}
 	}
-	return nil, nil
+	return under, place
 }
 
 // Names are the members' names, sorted.
