Start only with a folder of our own, go on without one, and tell faults of a plan by line

A member with another member's folder warned and sent nothing for ever; it now ends with 1 and the key. One whose folder the system refuses takes part without keeping anything, and says so, in place of sending nothing. The links' counters were counted and never shown: they stand in `group status` and in the log's counters. Bad addresses end with 1 at once, in place of 2 after twelve seconds. The stretch before longer deadlines at SIGHUP is tested.

--- a/cmd/birchfork/main.go
+++ b/cmd/birchfork/main.go
@@ -85,6 +85,10 @@
 	if cfg.Operator != nil {
 		fmt.Fprintf(out.std, "%s: good: %d routes\n", c.Operator, cfg.Operator.Table.Len())
 	}
+	if cfg.Operator != nil && cfg.Operator.Group != nil {
+		g := cfg.Operator.Group
+		fmt.Fprintf(out.std, "%s: good: group %s, %d members, plans %t, lease %v\n", c.Operator, g.Name, len(g.Peers), g.Plans, g.Lease)
+	}
 	if c.Explain {
 		return cfg.Operator.Explain(out.std)
 	}
--- a/cmd/birchfork/outage.go
+++ b/cmd/birchfork/outage.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"strings"
 	"text/tabwriter"
@@ -65,6 +66,14 @@
 
 // ask makes a call until it is answered.
 func (m *members) ask(call council.Call) (*council.Reply, error) {
+	for _, a := range m.At {
+		if host, port, err := net.SplitHostPort(a); err != nil || host == "" || port == "" {
+			return nil, fmt.Errorf("--at: %q is not host:port", a)
+		}
+	}
+	if len(m.At) == 0 {
+		return nil, errors.New("--at, or BIRCHFORK_GROUP: no member is named")
+	}
 	return (&council.Client{At: m.At}).Ask(context.Background(), call)
 }
 
@@ -149,16 +158,16 @@
 	} `toml:"machine"`
 }
 
-// load reads a plan; the error names every fault that the file alone shows.
-func loadPlan(path string) (*outage.Plan, error) {
+// loadPlan reads a plan; the error names every fault that the file alone shows.
+func loadPlan(path string) (*outage.Plan, *tomlfile.Doc, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
-		return nil, fmt.Errorf("reading the plan: %w", err)
+		return nil, nil, fmt.Errorf("reading the plan: %w", err)
 	}
 	f := planFile{Out: 1, Overdue: outage.Wait}
 	d := tomlfile.Read(path, raw, &f)
 	if len(d.Faults()) > 0 {
-		return nil, d.Err()
+		return nil, nil, d.Err()
 	}
 	p := &outage.Plan{
 		Name: f.Name, Out: f.Out, ZoneOut: f.ZoneOut, KindOut: f.KindOut, Capacity: f.Capacity, Leave: f.Leave, Work: f.Work,
@@ -167,11 +176,32 @@
 	for _, m := range f.Machines {
 		p.Machines = append(p.Machines, outage.Machine{Name: m.Name, Runners: m.Runners})
 	}
-	for _, fault := range outage.New().Faults(p) {
+	return p, d, byLine(d, outage.New().Faults(p))
+}
+
+// byLine gives faults that a plan's keys begin the lines of the file.
+func byLine(d *tomlfile.Doc, faults []string) error {
+	for _, fault := range faults {
 		key, what, _ := strings.Cut(fault, ": ")
 		d.Fault(key, "%s", what)
 	}
-	return p, d.Err()
+	return d.Err()
+}
+
+// handIn hands a plan in, or looks whether that could be done.
+func (m *members) handIn(out output, path string, check bool) error {
+	p, d, err := loadPlan(path)
+	if err != nil {
+		return err
+	}
+	r, err := m.ask(council.Call{Command: &outage.Command{Kind: outage.HandIn, Plan: p}, Check: check})
+	if err == nil && r.Code == outage.Wrong && !m.JSON {
+		return byLine(d, strings.Split(r.Text, "\n"))
+	}
+	if err != nil {
+		return err
+	}
+	return m.tell(out, r)
 }
 
 type outageCheck struct {
@@ -180,13 +210,7 @@
 }
 
 // Run checks a plan against the fleet.
-func (o *outageCheck) Run(out output) error {
-	p, err := loadPlan(o.File)
-	if err != nil {
-		return err
-	}
-	return o.do(out, council.Call{Command: &outage.Command{Kind: outage.HandIn, Plan: p}, Check: true})
-}
+func (o *outageCheck) Run(out output) error { return o.handIn(out, o.File, true) }
 
 type outagePlan struct {
 	members
@@ -194,13 +218,7 @@
 }
 
 // Run hands a plan in.
-func (o *outagePlan) Run(out output) error {
-	p, err := loadPlan(o.File)
-	if err != nil {
-		return err
-	}
-	return o.command(out, outage.Command{Kind: outage.HandIn, Plan: p})
-}
+func (o *outagePlan) Run(out output) error { return o.handIn(out, o.File, false) }
 
 // ofPlan is a call on a whole plan.
 type ofPlan struct {
@@ -255,13 +273,10 @@
 	}
 	for {
 		r, err := o.ask(council.Call{Command: &outage.Command{Kind: outage.Take, Name: o.Plan, Machine: o.Machine}})
-		if err == nil && r.Code != outage.NotNow {
-			return o.tell(out, r)
+		if err != nil {
+			return err
 		}
-		if !end.IsZero() && time.Now().After(end) {
-			if err != nil {
-				return err
-			}
+		if r.Code != outage.NotNow || !end.IsZero() && time.Now().After(end) {
 			return o.tell(out, r)
 		}
 		time.Sleep(waitEvery)
@@ -313,15 +328,19 @@
 	fmt.Fprintf(w, "lease %v, attempts run for %v at the longest, a silent member is waited for %v\n",
 		s.Bounds.Lease, s.Bounds.Attempt, s.Bounds.Settled)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "MEMBER\tLIFE\tVOTES\tHEARD\tIN FORCE")
+	fmt.Fprintln(t, "MEMBER\tZONE\tLIFE\tVOTES\tHEARD\tIN FORCE")
 	for _, m := range s.Members {
 		heard := "not by this leader"
 		if m.Heard >= 0 {
 			heard = m.Heard.Round(time.Millisecond).String() + " ago"
 		}
-		fmt.Fprintf(t, "%s\t%s\t%t\t%s\t%d\n", m.Name, m.Life, m.Votes, heard, m.Applied)
+		fmt.Fprintf(t, "%s\t%s\t%s\t%t\t%s\t%d\n", m.Name, orNone(m.Zone), m.Life, m.Votes, heard, m.Applied)
 	}
 	t.Flush()
+	if l := s.Links; len(l) > 0 {
+		fmt.Fprintf(w, "links of %s: %d messages out, %d lost, %d dropped, %d in, %d refused; %d bytes out, %d in\n", s.Told,
+			l["sent"], l["lost"], l["dropped"], l["taken"], l["refused"], l["bytes_out"], l["bytes_in"])
+	}
 }
 
 func orNone(s string) string {
--- a/cmd/birchfork/outage_test.go
+++ b/cmd/birchfork/outage_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -30,3 +33,39 @@
 		}
 	}
 }
+
+// What the group says of a plan stands by line too; exit status 1 is wrong, 2 is not now.
+func TestExitStatus(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "plan.toml")
+	if err := os.WriteFile(path, []byte("name = \"p\"\n[[machine]]\nname = \"m\"\nrunners = [\"a\"]\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	reply := ""
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		io.WriteString(w, reply)
+	}))
+	defer s.Close()
+	at := s.Listener.Addr().String()
+	for _, c := range []struct {
+		args   []string
+		reply  string
+		status int
+		want   string
+	}{
+		{[]string{"plan", "--at", at, path}, `{"code":0,"text":"handed in"}`, 0, "handed in"},
+		{[]string{"plan", "--at", at, path}, `{"code":1,"text":"machine[0].runners: \"a\" is not on the list"}`, 1, path + `:4: machine[0].runners: "a" is not`},
+		{[]string{"start", "--at", at, "p"}, `{"code":2,"text":"not in the group yet: d3"}`, 2, "not in the group yet: d3"},
+		{[]string{"wait", "--for", "1ms", "--at", at, "m"}, `{"code":2,"text":"m is waiting"}`, 2, "m is waiting"},
+		{[]string{"start", "--json", "--at", at, "p"}, `{"code":1,"text":"no plan"}`, 1, `{"code":1,"text":"no plan"}`},
+		{[]string{"status", "--at", "nonsense"}, "", 1, `--at: "nonsense" is not host:port`},
+		{[]string{"status", "--at", ""}, "", 1, "no member is named"},
+	} {
+		reply = c.reply
+		var out, bad bytes.Buffer
+		status := run(append([]string{"outage"}, c.args...), output{&out, &bad})
+		if status != c.status || !strings.Contains(out.String()+bad.String(), c.want) {
+			t.Errorf("%v: exit status %d, %s%s; want %d, %q", c.args, status, &out, &bad, c.status, c.want)
+		}
+	}
+}
--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -203,7 +203,7 @@
 	c.o.Log.WithFields(logrus.Fields{"link": self.Link, "life": v.who.Life, "founded": v.who.Founded, "kept": disk.Kept()}).
 		Info("this process speaks for its dispatcher in the group")
 	if disk.Unreadable != nil {
-		c.o.Log.WithError(disk.Unreadable).Error("what this member kept cannot be read: it begins another life")
+		tellUnreadable(c.o.Log, disk)
 	}
 	var loops sync.WaitGroup
 	if v.who.Founded != "" && c.forgot(ctx, v, disk) {
@@ -251,15 +251,60 @@
 	return err
 }
 
-// openDisk opens our folder, or begins one with a new life.
+// openDisk opens our folder, or begins one with a new life. Where the system refuses the folder we keep nothing, and take part
+// all the same: without a place in the group this dispatcher would send nothing.
 func (c *Council) openDisk() (*agree.Disk, error) {
-	id, err := rand.Int(rand.Reader, new(big.Int).SetUint64(1<<62))
+	who, err := newLife(&c.o)
 	if err != nil {
 		return nil, err
 	}
-	return agree.OpenDisk(c.o.Group.Folder, agree.Identity{
-		Group: c.o.Group.Name, Name: c.o.Self, Life: rand.Text()[:10], ID: id.Uint64() + 1,
-	})
+	d, err := agree.OpenDisk(c.o.Group.Folder, who)
+	if err == nil || errors.Is(err, agree.ErrTaken) || errors.Is(err, agree.ErrForeign) {
+		return d, err
+	}
+	c.o.Log.WithError(err).Error("the group's folder cannot be used: what is settled is not kept over a restart of this member")
+	return agree.OpenDisk("", who)
+}
+
+func tellUnreadable(log logrus.FieldLogger, d *agree.Disk) {
+	log.WithError(d.Unreadable).Error("what this member kept cannot be read: it begins another life")
+}
+
+// newLife is who we are if our folder is empty.
+func newLife(o *Options) (agree.Identity, error) {
+	id, err := rand.Int(rand.Reader, new(big.Int).SetUint64(1<<62))
+	return agree.Identity{Group: o.Group.Name, Name: o.Self, Life: rand.Text()[:10], ID: id.Uint64() + 1}, err
+}
+
+// Check tells, by key of the operator's file, why a process that is alone cannot take part: its link's address is in use, or its
+// folder is another member's.
+func Check(o Options) error {
+	var errs []error
+	for i, p := range o.Group.Peers {
+		if p.Name != o.Self {
+			continue
+		}
+		l, err := net.Listen("tcp", p.Link)
+		if err != nil {
+			errs = append(errs, fmt.Errorf("group.member[%d].link: %w", i, err))
+			continue
+		}
+		l.Close()
+	}
+	who, err := newLife(&o)
+	if err != nil {
+		return err
+	}
+	switch d, err := agree.OpenDisk(o.Group.Folder, who); {
+	case err == nil:
+		if d.Unreadable != nil {
+			tellUnreadable(o.Log, d)
+		}
+		d.Close()
+	case errors.Is(err, agree.ErrForeign), errors.Is(err, agree.ErrTaken):
+		errs = append(errs, fmt.Errorf("group.folder: %w", err))
+	}
+	return errors.Join(errs...)
 }
 
 // begin takes part in the agreement by what the disk has.
@@ -451,6 +496,21 @@
 	}
 }
 
+// Fields are what has passed on our links, for the log; nil where this process has no place in the group.
+func (c *Council) Fields() logrus.Fields {
+	c.mu.Lock()
+	v := c.voice
+	c.mu.Unlock()
+	if v == nil {
+		return nil
+	}
+	f := logrus.Fields{}
+	for name, n := range v.links.Counters.All() {
+		f["group_"+name] = n
+	}
+	return f
+}
+
 // Leave gives the lead away, within a second: this process stops soon.
 func (c *Council) Leave() { c.handOver() }
 
--- a/internal/council/staff.go
+++ b/internal/council/staff.go
@@ -44,6 +44,8 @@
 	Bounds  Bounds         `json:"bounds"`
 	Members []MemberStatus `json:"members"`
 	Plans   []PlanStatus   `json:"plans"`
+
+	Links map[string]int64 `json:"links"` // what has passed on the links of the member that tells
 }
 
 // Bounds are the times that a machine's clear rests on.
@@ -56,6 +58,7 @@
 // MemberStatus is one member.
 type MemberStatus struct {
 	Name    string        `json:"name"`
+	Zone    string        `json:"zone"` // by the file of the member that tells
 	Life    string        `json:"life"`
 	Votes   bool          `json:"votes"`
 	Heard   time.Duration `json:"heard"` // ago, by the leader; below 0: never
@@ -246,6 +249,9 @@
 func (c *Council) status(settled bool) *Status {
 	s := &Status{Told: c.o.Self, Settled: settled, Index: c.state.Index, Bounds: Bounds{c.o.Group.Lease, c.attempt, c.state.Bound}}
 	var voters []uint64
+	if c.voice != nil {
+		s.Links = c.voice.links.Counters.All()
+	}
 	if c.voice != nil && c.voice.agree != nil {
 		a := c.voice.agree.Status()
 		s.Term, s.Failed, voters = a.Term, a.Failed, a.Voters
@@ -258,6 +264,11 @@
 	for _, name := range c.state.Names() {
 		m := c.state.Members[name]
 		is := MemberStatus{Name: name, Life: m.Life, Votes: slices.Contains(voters, m.ID), Heard: -1}
+		for _, p := range c.o.Group.Peers {
+			if p.Name == name {
+				is.Zone = p.Zone
+			}
+		}
 		if h, ok := c.words[name]; ok {
 			is.Heard, is.Applied, is.Alone = time.Since(h.at), h.Applied, h.Alone
 		}
--- a/internal/group/links.go
+++ b/internal/group/links.go
@@ -83,6 +83,14 @@
 	BytesOut, BytesIn                   atomic.Int64
 }
 
+// All are the counters under the names that log and status use.
+func (c *Counters) All() map[string]int64 {
+	return map[string]int64{
+		"sent": c.Sent.Load(), "lost": c.Lost.Load(), "dropped": c.Dropped.Load(), "taken": c.Taken.Load(),
+		"refused": c.Refused.Load(), "bytes_out": c.BytesOut.Load(), "bytes_in": c.BytesIn.Load(),
+	}
+}
+
 // Links carry messages between members until Close.
 type Links struct {
 	Counters Counters
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -132,6 +132,7 @@
 	Leave()                        // this process stops soon
 	Close()                        // it takes part no more
 	Stretch(attempt time.Duration) // attempts may run for longer from now on
+	Fields() logrus.Fields         // for the log
 }
 
 // start brings a dispatcher up. It serves when start returns, unless another process of this dispatcher does: then it
@@ -316,7 +317,11 @@
 // tell logs the counters.
 func (n *node) tell(what string) {
 	open, idle := n.pool.Open()
-	n.log.WithFields(n.store.Counters.Fields()).WithFields(n.store.LimitFields()).WithFields(logrus.Fields{
+	var group logrus.Fields
+	if n.part != nil {
+		group = n.part.Fields()
+	}
+	n.log.WithFields(n.store.Counters.Fields()).WithFields(n.store.LimitFields()).WithFields(group).WithFields(logrus.Fields{
 		"open": n.store.Pending(), "runner_conns": open, "runner_conns_idle": idle,
 	}).Info(what)
 }
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"birchfork/internal/store"
 )
 
 const tuned = `{"name":"n","listen":"l","limits":{"cores":1},"known":{"index":1},"seed":"s","settings":{
@@ -117,9 +121,15 @@
 	if id := <-w.got; id != "old" {
 		t.Fatal(id)
 	}
+	part := &fakePart{n: n}
+	n.part = part
 	write(renamed)
 	n.reload()
 	n.reload() // two in a row
+	if part.told != 2 || part.late {
+		t.Errorf("the group was told %d times how long attempts may run; too late: %t", part.told, part.late)
+	}
+	n.part = nil
 	if n.store.Counters.Reloads.Load() != 2 || n.inForce().Settings.MaxAttempts != 1 {
 		t.Error("good settings are not in force")
 	}
@@ -137,6 +147,24 @@
 	await(t, "idle connections go by the new time", func() bool { _, idle := n.pool.Open(); return idle == 0 })
 }
 
+// fakePart is a place in a group that looks whether the new settings hold already when it is told of them.
+type fakePart struct {
+	n    *node
+	told int
+	late bool
+}
+
+func (f *fakePart) Leave()                {}
+func (f *fakePart) Close()                {}
+func (f *fakePart) Fields() logrus.Fields { return nil }
+
+func (f *fakePart) Stretch(attempt time.Duration) {
+	if f.told++; f.told == 1 {
+		_, err := f.n.store.Open(store.Job{ID: "early", Class: "find", Left: time.Second})
+		f.late = !errors.Is(err, store.ErrClass) || attempt < 5*time.Second
+	}
+}
+
 // request is a job of a class.
 func request(n *node, class string) *http.Request {
 	r, _ := http.NewRequest("POST", "http://"+n.address.String()+"/"+class, nil)
