--- a/internal/wire/runner_test.go
+++ b/internal/wire/runner_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -358,3 +359,52 @@
 		}
 	})
 }
+
+// watched is a connection that tells of its writes.
+type watched struct {
+	net.Conn
+	wrote func(n int)
+}
+
+func (c *watched) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.wrote(n)
+	return n, err
+}
+
+// Under the group's lease the last byte of a request is a write of its own, and stays where the lease ends before it: the
+// runner never begins, and the client is told that asking again is harmless.
+func TestTheLastByteGoesUnderTheLease(t *testing.T) {
+	w := runner(t, serves)
+	g := newRig(t, w.addr, 0)
+	var mu sync.Mutex
+	var sizes []int
+	ends := true
+	g.pool.Tune(func(ctx context.Context, a string) (net.Conn, error) {
+		c, err := net.Dial("tcp", a)
+		return &watched{c, func(n int) {
+			mu.Lock()
+			defer mu.Unlock()
+			if sizes = append(sizes, n); ends {
+				g.store.Lease(time.Now())
+			}
+		}}, err
+	}, time.Minute)
+	g.store.Guard(store.Guard{Leased: map[string]bool{"w": true}})
+	for id, want := range map[string]int{"A": 503, "B": 200} {
+		g.store.Lease(time.Now().Add(time.Hour))
+		mu.Lock()
+		sizes, ends = nil, want == 503
+		mu.Unlock()
+		status, _, _ := do(t, request(t, g.url, "book", id, "the body"))
+		mu.Lock()
+		seen := len(w.seen) > 0 && w.seen[len(w.seen)-1].Header.Get("X-Request-Id") == id
+		if whole := len(sizes) == 2 && sizes[1] == 1; status != want || seen != whole || whole != (want == 200) || len(sizes) > 2 {
+			t.Errorf("%s: status %d, want %d; the runner saw it: %t; writes of %v bytes", id, status, want, seen, sizes)
+		}
+		mu.Unlock()
+	}
+	if n := g.store.Counters.Outcomes[rules.NotSent].Load(); n != 1 {
+		t.Errorf("%d attempts count as not sent", n)
+	}
+}
