--- a/internal/agree/core_test.go
+++ b/internal/agree/core_test.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"slices"
 	"testing"
 
 	"github.com/cespare/xxhash/v2"
@@ -108,10 +109,19 @@
 	w.cores[1].Campaign()
 	for id := uint64(2); id <= 3; id++ {
 		learner := raftpb.ConfChangeAddLearnerNode
+		w.cut[id] = true
 		if err := w.cores[1].Change([]*raftpb.ConfChangeSingle{{Type: &learner, NodeId: &id}}, []byte("in")); err != nil {
 			t.Fatal(err)
 		}
+		w.pump(2)
+		if slices.Contains(w.cores[1].Caught(), id) {
+			t.Errorf("member %d counts as caught up before it has anything", id)
+		}
+		w.cut[id] = false
 		w.pump(10)
+		if !slices.Contains(w.cores[1].Caught(), id) {
+			t.Errorf("member %d does not count as caught up", id)
+		}
 	}
 	propose := func(n int) {
 		t.Helper()
--- a/internal/agree/disk_test.go
+++ b/internal/agree/disk_test.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"errors"
+	"io"
 	"os"
 	"path/filepath"
 	"testing"
 
+	"github.com/sirupsen/logrus"
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 )
@@ -85,8 +87,15 @@
 		}
 		defer d.Close()
 		hard, _, _ := d.cache.InitialState()
+		same := true
+		if d.Mark().Last == 4 {
+			entries, err := d.cache.Entries(2, 5, 1<<20)
+			for i, e := range entries {
+				same = same && err == nil && bytes.Equal(e.GetData(), bytes.Repeat([]byte{byte(2 + i)}, 40))
+			}
+		}
 		switch {
-		case d.Who().Life == "first" && d.Mark() == Mark{3, 4} && hard.GetVote() == 9:
+		case d.Who().Life == "first" && d.Mark() == Mark{3, 4} && hard.GetVote() == 9 && same:
 			whole++
 		case d.Who().Life == "second" && d.Empty():
 			aside++
@@ -98,16 +107,87 @@
 	for n := 0; n < len(raw); n += 509 {
 		try("torn", n, raw[:n])
 	}
-	for n := 3; n < len(raw); n += 211 {
+	flip := func(n int) {
 		flipped := bytes.Clone(raw)
 		flipped[n] ^= 4
 		try("flipped", n, flipped)
 	}
+	for n := 3; n < len(raw); n += 211 {
+		flip(n)
+	}
+	entry := bytes.Repeat([]byte{3}, 40) // every copy of it, wherever the file has it
+	for at := bytes.Index(raw, entry); at >= 0; {
+		flip(at + 7)
+		next := bytes.Index(raw[at+len(entry):], entry)
+		if next < 0 {
+			break
+		}
+		at += len(entry) + next
+	}
 	if whole == 0 || aside == 0 {
 		t.Errorf("%d read whole, %d put aside", whole, aside)
 	}
 }
 
+// Entries of another leader's go, on the disk too, where others stand in their place.
+func TestEntriesGiveWay(t *testing.T) {
+	folder, _ := folderOf(t)
+	for range 2 {
+		d, err := OpenDisk(folder, whoever)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d.Mark().Last == 4 {
+			if err := d.save(nil, []*raftpb.Entry{{Index: proto.Uint64(3), Term: proto.Uint64(4)}}, nil); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if term, err := d.cache.Term(3); d.Mark().Last != 3 || term != 4 || err != nil {
+			t.Errorf("mark %+v, entry 3 of term %d, %v", d.Mark(), term, err)
+		}
+		d.Close()
+	}
+}
+
+// What is for another life is refused, and how far a member has come is told by what it promises alone.
+func TestReceive(t *testing.T) {
+	d, err := OpenDisk("", whoever)
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	a, err := Start(Options{Disk: d, Machine: &chain{t: t}, Log: log, Send: func(uint64, []byte, bool) {}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.Close()
+	for _, c := range []struct {
+		kind   raftpb.MessageType
+		to     uint64
+		reject bool
+		want   Mark
+		bad    bool
+	}{
+		{raftpb.MsgAppResp, 7, false, Mark{5, 9}, false}, {raftpb.MsgAppResp, 7, true, Mark{5, 0}, false},
+		{raftpb.MsgVote, 7, false, Mark{5, 0}, false}, {raftpb.MsgPreVote, 7, false, Mark{}, false},
+		{raftpb.MsgPreVoteResp, 7, false, Mark{}, false}, {raftpb.MsgVote, 8, false, Mark{}, true},
+	} {
+		raw, err := proto.Marshal(&raftpb.Message{
+			Type: &c.kind, To: &c.to, From: proto.Uint64(3), Term: proto.Uint64(5), Index: proto.Uint64(9), Reject: &c.reject,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, mark, err := a.Receive(raw); mark != c.want || (err != nil) != c.bad {
+			t.Errorf("%v to %d: %+v, %v", c.kind, c.to, mark, err)
+		}
+	}
+	if _, _, err := a.Receive([]byte{0xff}); err == nil {
+		t.Error("bytes that are no message were taken")
+	}
+}
+
 func TestMarks(t *testing.T) {
 	for _, c := range []struct {
 		disk, said Mark
--- a/internal/council/council_test.go
+++ b/internal/council/council_test.go
@@ -2,15 +2,18 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/sirupsen/logrus/hooks/test"
 	"go.uber.org/goleak"
 
@@ -26,13 +29,14 @@
 	mu    sync.Mutex
 	guard store.Guard
 	lease time.Time
-	blind bool
-	hand  bool // the first runner is left out by hand here
+	blind []bool // each word on it
+	hand  bool   // the first runner is left out by hand here
+	alive int    // other processes of this dispatcher
 }
 
 func (h *hand) Guard(g store.Guard) { h.mu.Lock(); h.guard = g; h.mu.Unlock() }
 func (h *hand) Lease(t time.Time)   { h.mu.Lock(); h.lease = t; h.mu.Unlock() }
-func (h *hand) Blind(b bool)        { h.mu.Lock(); h.blind = b; h.mu.Unlock() }
+func (h *hand) Blind(b bool)        { h.mu.Lock(); h.blind = append(h.blind, b); h.mu.Unlock() }
 func (h *hand) Busy() []string      { return nil }
 
 func (h *hand) Fleet(_, _ time.Duration) (all []store.Seen) {
@@ -48,54 +52,89 @@
 func (h *hand) see() (away, leased int, runs, blind bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return len(h.guard.Away), len(h.guard.Leased), time.Now().Before(h.lease), h.blind
+	return len(h.guard.Away), len(h.guard.Leased), time.Now().Before(h.lease), len(h.blind) > 0 && h.blind[len(h.blind)-1]
+}
+
+// set changes it.
+func (h *hand) set(f func()) { h.mu.Lock(); f(); h.mu.Unlock() }
+
+func (h *hand) beside() (int, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.alive, false
 }
 
 // room is three members in one process.
 type room struct {
-	t     *testing.T
-	at    []string
-	hands []*hand
-	all   []*Council
+	t       *testing.T
+	group   config.Group
+	at      []string
+	folders []string
+	hands   []*hand
+	all     []*Council
 }
 
 func newRoom(t *testing.T) *room {
-	var at []string
+	r := &room{t: t, group: config.Group{Name: "g", Plans: true, Lease: time.Second}, all: make([]*Council, 3)}
 	for i := range 3 { // each of an IP that no connection goes out from: the port stays free
 		l, err := net.Listen("tcp", fmt.Sprintf("127.83.7.%d:0", 1+i))
 		if err != nil {
 			t.Fatal(err)
 		}
-		at = append(at, l.Addr().String())
+		r.at = append(r.at, l.Addr().String())
 		l.Close()
-	}
-	g := config.Group{Name: "g", Plans: true, Lease: time.Second}
-	for i, a := range at {
-		g.Peers = append(g.Peers, group.Peer{Name: fmt.Sprint("d", i), Link: a, Voter: true})
-	}
-	r := &room{t: t, at: at}
-	log, _ := test.NewNullLogger()
-	log.SetLevel(logrus.PanicLevel)
-	for i := range at {
-		own := g
-		own.Folder = t.TempDir()
-		h := &hand{}
-		r.hands = append(r.hands, h)
-		r.all = append(r.all, Start(Options{
-			Group: &own, Self: fmt.Sprint("d", i), Dispatcher: h, Beside: func() (int, bool) { return 0, false },
-			Attempt: 100 * time.Millisecond, Warm: 100 * time.Millisecond, Log: log,
-		}))
+		r.group.Peers = append(r.group.Peers, group.Peer{Name: fmt.Sprint("d", i), Link: r.at[i], Voter: true})
+		r.folders = append(r.folders, t.TempDir())
+		r.hands = append(r.hands, &hand{})
 	}
 	return r
 }
 
+// start starts a member, or starts it again.
+func (r *room) start(i int) *Council {
+	own := r.group
+	own.Folder = r.folders[i]
+	log, _ := test.NewNullLogger()
+	r.hands[i] = &hand{}
+	r.all[i] = Start(Options{
+		Group: &own, Self: fmt.Sprint("d", i), Dispatcher: r.hands[i], Beside: r.hands[i].beside,
+		Attempt: 100 * time.Millisecond, Warm: 100 * time.Millisecond, Log: log,
+	})
+	return r.all[i]
+}
+
 func (r *room) close() {
 	for _, c := range r.all {
-		c.Close()
+		if c != nil {
+			c.Close()
+		}
 	}
 	http.DefaultClient.CloseIdleConnections()
 }
 
+// found founds the group, all being there.
+func (r *room) found() {
+	r.t.Helper()
+	r.until("it is founded", func() bool { return r.call(0, -1, Call{Found: true}).Code == outage.Yes })
+	r.until("all vote and have a lease", func() bool {
+		s := r.call(0, -1, Call{Status: true}).Status
+		votes := 0
+		if s != nil {
+			for _, m := range s.Members {
+				if m.Votes && m.Heard >= 0 {
+					votes++
+				}
+			}
+		}
+		for _, h := range r.hands {
+			if _, _, runs, blind := h.see(); !runs || blind {
+				return false
+			}
+		}
+		return votes == 3
+	})
+}
+
 // call makes a call at one member; code -1 takes any answer.
 func (r *room) call(member, code int, c Call) *Reply {
 	r.t.Helper()
@@ -131,40 +170,46 @@
 	return "", ""
 }
 
+var thePlan = &outage.Plan{Name: "p", Out: 1, Overdue: outage.Wait, Machines: []outage.Machine{{Name: "m1", Runners: []string{"r1"}}}}
+
 // Three members in one process: any takes calls, what is settled is in force at each, a word at one door counts against the
-// budget of all, longer attempts have no lease before they are settled, and nothing is left behind.
+// budget of all, and nothing is left behind.
 func TestThreeMembers(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	r := newRoom(t)
 	defer r.close()
-	r.until("it is founded", func() bool { return r.call(0, -1, Call{Found: true}).Code == outage.Yes })
-	r.until("all have a lease", func() bool {
-		for _, h := range r.hands {
-			if _, _, runs, blind := h.see(); !runs || blind {
-				return false
-			}
-		}
-		return true
+	r.start(0)
+	r.start(1)
+	// One that does not answer may be in the group: it is not founded, and nobody takes it that there are no plans.
+	r.until("it is told who does not answer", func() bool {
+		a := r.call(0, -1, Call{Found: true})
+		return a.Code == outage.NotNow && strings.Contains(a.Text, "d2: ")
 	})
-	r.hands[2].mu.Lock()
-	r.hands[2].hand = true
-	r.hands[2].mu.Unlock()
-	plan := &outage.Plan{Name: "p", Out: 1, Overdue: outage.Wait, Machines: []outage.Machine{{Name: "m1", Runners: []string{"r1"}}}}
-	unfit := *plan
+	time.Sleep(2 * joinEvery)
+	if _, _, _, blind := r.hands[0].see(); !blind {
+		t.Error("it sends though one that may know of plans is silent")
+	}
+	r.start(2)
+	r.until("all are in no group", func() bool { _, _, _, blind := r.hands[0].see(); return !blind })
+	r.found()
+	r.hands[2].set(func() { r.hands[2].hand = true })
+	r.hands[1].set(func() { r.hands[1].alive = 1 })
+	unfit := *thePlan
 	unfit.Machines = []outage.Machine{{Name: "m", Runners: []string{"nobody"}}}
 	r.call(1, outage.Wrong, Call{Command: &outage.Command{Kind: outage.HandIn, Plan: &unfit}})
-	r.call(1, outage.Yes, Call{Command: &outage.Command{Kind: outage.HandIn, Plan: plan}, Check: true})
-	r.call(1, outage.Yes, Call{Command: &outage.Command{Kind: outage.HandIn, Plan: plan}})
-	r.until("it starts", func() bool {
-		return r.call(2, -1, Call{Command: &outage.Command{Kind: outage.Start, Name: "p"}}).Code == outage.Yes
+	r.call(1, outage.Yes, Call{Command: &outage.Command{Kind: outage.HandIn, Plan: thePlan}, Check: true})
+	r.call(1, outage.Yes, Call{Command: &outage.Command{Kind: outage.HandIn, Plan: thePlan}})
+	r.call(2, outage.Yes, Call{Command: &outage.Command{Kind: outage.Start, Name: "p"}})
+	r.until("it waits for one with two processes", func() bool {
+		s := r.call(0, -1, Call{Status: true}).Status
+		return s != nil && s.Plans[0].Why == "waits until members have it in force: [d1]"
 	})
+	r.hands[1].set(func() { r.hands[1].alive = 0 })
 	r.until("a word at the third door stands in its way", func() bool {
 		_, why := r.step("m1")
 		return why == "2 machines would be away, 1 may be: runner r0"
 	})
-	r.hands[2].mu.Lock()
-	r.hands[2].hand = false
-	r.hands[2].mu.Unlock()
+	r.hands[2].set(func() { r.hands[2].hand = false })
 	r.until("it is clear", func() bool {
 		return r.call(2, -1, Call{Command: &outage.Command{Kind: outage.Take, Machine: "m1"}}).Code == outage.Yes
 	})
@@ -173,6 +218,19 @@
 			t.Errorf("at member %d: %d away, %d under the lease", i, away, leased)
 		}
 	}
+	r.call(0, outage.Yes, Call{Command: &outage.Command{Kind: outage.Return, Machine: "m1"}})
+	r.until("the plan is through", func() bool { _, leased, _, _ := r.hands[1].see(); return leased == 0 })
+}
+
+// What a lease rests on: all that it knows is in force, the group waits for as long as our attempts run, and a quorum has said
+// that the one that grants it leads still.
+func TestWhatALeaseRestsOn(t *testing.T) {
+	r := newRoom(t)
+	defer r.close()
+	for i := range r.all {
+		r.start(i)
+	}
+	r.found()
 	h, bound := r.hands[1], r.call(1, -1, Call{Status: true}).Status.Bounds.Settled
 	r.all[1].Stretch(time.Minute)
 	if _, _, runs, _ := h.see(); runs {
@@ -182,11 +240,97 @@
 	if now := r.call(1, -1, Call{Status: true}).Status.Bounds.Settled; now <= bound {
 		t.Errorf("a silent member is waited for %v, before %v", now, bound)
 	}
-	r.call(0, outage.Yes, Call{Command: &outage.Command{Kind: outage.Return, Machine: "m1"}})
-	r.until("the plan is through", func() bool {
-		_, leased, _, _ := h.see()
-		return leased == 0
+	c := r.all[0]
+	told, began := c.report(), time.Now().Add(time.Hour)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	if err := c.hold(ctx, told, began, grant{Index: told.Applied + 1000}); err == nil {
+		t.Error("a lease that knows more than is in force")
+	}
+	told.Bound--
+	if err := c.hold(context.Background(), told, began, grant{}); !errors.Is(err, errBound) {
+		t.Errorf("a lease for attempts that have become longer since: %v", err)
+	}
+	h = r.hands[0]
+	h.set(func() {
+		if h.lease.After(time.Now().Add(time.Minute)) {
+			t.Error("it was taken all the same")
+		}
+	})
+	r.until("the first member leads", func() bool { return c.leads() || r.call(0, -1, Call{Status: true}).Status.Leader == "d0" })
+	r.all[1].Close()
+	r.all[2].Close()
+	r.all[1], r.all[2] = nil, nil
+	raw, err := json.Marshal(c.report())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !c.leads() {
+		t.Fatal("it knows already that it does not lead")
+	}
+	ctx, cancel = context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	if out, err := c.onReport(ctx, group.Sender{}, raw); err == nil {
+		t.Errorf("granted without a quorum: %s", out)
+	}
+}
+
+// A member whose disk is older than what its life has said begins another: it votes and sends by nothing that it has, nothing
+// goes to its old life, and that is granted nothing. One that was retired is missed before a plan starts.
+func TestAnotherLife(t *testing.T) {
+	r := newRoom(t)
+	defer r.close()
+	for i := range r.all {
+		r.start(i)
+	}
+	r.found()
+	file := filepath.Join(r.folders[2], "group.db")
+	was := r.all[2].who().Life
+	r.all[2].Close()
+	old, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.start(2)
+	r.until("it is back", func() bool { _, _, runs, _ := r.hands[2].see(); return runs })
+	r.call(0, outage.Yes, Call{Command: &outage.Command{Kind: outage.HandIn, Plan: thePlan}})
+	r.until("it has heard of the plan", func() bool {
+		s := r.call(2, -1, Call{Status: true, Local: true}).Status
+		return s != nil && len(s.Plans) == 1
 	})
+	r.all[2].Close()
+	if err := os.WriteFile(file, old, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c := r.all[0]
+	c.mu.Lock()
+	m := c.state.Members["d2"]
+	id := m.ID
+	c.mu.Unlock()
+	r.start(2)
+	r.until("it has another life", func() bool { c.mu.Lock(); defer c.mu.Unlock(); return c.state.Members["d2"].Life != was })
+	r.until("it has a lease", func() bool { _, _, runs, blind := r.hands[2].see(); return runs && !blind })
+	r.hands[2].set(func() {
+		if words := fmt.Sprint(r.hands[2].blind); !strings.HasPrefix(words, "[true true") {
+			t.Errorf("blind: %s; by the old disk it sent", words)
+		}
+	})
+	if !c.old("d2", was) || c.name(id) != "" {
+		t.Errorf("its earlier life is known: %t, and has a name: %q", c.old("d2", was), c.name(id))
+	}
+	for i := range r.all {
+		if r.all[i].leads() {
+			raw, _ := json.Marshal(report{Name: "d2", Word: outage.Word{Life: was}})
+			if _, err := r.all[i].onReport(context.Background(), group.Sender{}, raw); !errors.Is(err, errStranger) {
+				t.Errorf("its earlier life: %v", err)
+			}
+		}
+	}
+	r.all[2].Close()
+	r.call(0, outage.Yes, Call{Command: &outage.Command{Kind: outage.Retire, Name: "d2"}})
+	if a := r.call(1, outage.NotNow, Call{Command: &outage.Command{Kind: outage.Start, Name: "p"}}); a.Text != "not in the group yet: d2" {
+		t.Errorf("a start without a member of the file: %+v", a)
+	}
 }
 
 // A member that starts with a disk trusts it only if the group has spoken to that life: one with a vote and no plan yet has
--- a/internal/council/member.go
+++ b/internal/council/member.go
@@ -267,6 +267,11 @@
 	if err := json.Unmarshal(raw, &g); err != nil {
 		return err
 	}
+	return c.hold(ctx, told, began, g)
+}
+
+// hold takes a lease that was asked for with a word, at a moment, once all that it rests on is in force here.
+func (c *Council) hold(ctx context.Context, told report, began time.Time, g grant) error {
 	if err := c.inForce(ctx, g.Index); err != nil {
 		return err
 	}
--- a/internal/group/links_test.go
+++ b/internal/group/links_test.go
@@ -94,12 +94,17 @@
 	for range 2 * queueMost {
 		p.a.Post("c", "/x", []byte("m"))
 	}
-	for range 3 {
-		p.a.Post("c", "/x", make([]byte, queueBytes))
-	}
-	if n := p.a.Counters.Dropped.Load(); n < queueMost {
+	if n := p.a.Counters.Dropped.Load(); n < queueMost-1 {
 		t.Errorf("%d dropped", n)
 	}
+	was := p.a.Counters.Dropped.Load()
+	p.a.o.Peers = append(p.a.o.Peers, Peer{Name: "d", Link: stalled.Addr().String()})
+	for range 4 { // one is on its way, one waits
+		p.a.Post("d", "/x", make([]byte, queueBytes/2+1))
+	}
+	if n := p.a.Counters.Dropped.Load() - was; n < 2 {
+		t.Errorf("%d dropped of four that are over the bound on bytes", n)
+	}
 	for _, m := range []string{"1", "no", "2"} {
 		p.a.Post("b", "/x", []byte(m))
 	}
@@ -113,6 +118,35 @@
 	}
 }
 
+// A message over the bound is refused, and more connections than the bound wait.
+func TestBounds(t *testing.T) {
+	p := newPair(t, Sender{"a", "1", "f"}, func(*Options) {})
+	if _, err := p.a.Ask(context.Background(), "b", "/x", make([]byte, bodyMost+1)); err == nil || p.b.Counters.Refused.Load() != 1 || len(p.got) > 0 {
+		t.Errorf("a message that is too long: %v", err)
+	}
+	p.a.client.CloseIdleConnections()
+	var held []net.Conn
+	for range 2*connsEach + connsSpare {
+		c, err := net.Dial("tcp", p.peer[1].Link)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		held = append(held, c)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), headWait/4)
+	defer cancel()
+	if _, err := p.a.Ask(ctx, "b", "/x", []byte("m")); err == nil {
+		t.Error("one connection over the bound was served")
+	}
+	for _, c := range held {
+		c.Close()
+	}
+	if _, err := p.a.Ask(context.Background(), "b", "/x", []byte("m")); err != nil {
+		t.Errorf("once they are gone: %v", err)
+	}
+}
+
 // Hostile bytes cost a counter, and nothing stays behind.
 func TestHostileBytes(t *testing.T) {
 	defer goleak.VerifyNone(t)
--- a/internal/outage/outage_test.go
+++ b/internal/outage/outage_test.go
@@ -125,6 +125,7 @@
 	d.call(Wrong, Command{Kind: GiveUp, Machine: "m0"})
 	d.call(Wrong, Command{Kind: Return, Machine: "m1"})
 	d.call(Yes, Command{Kind: Return, Machine: "m0"})
+	d.tick(sec) // listed and not cold by anybody's word, and still not warm for certain
 	d.steps("m0 returning")
 	d.runner("r0", func(r *Runner) { r.Cold = true })
 	d.tick(9 * sec)
@@ -192,6 +193,11 @@
 				d.runner(r, func(r *Runner) { r.Down = true })
 			}
 		}, "m1 leaving"},
+		"the other zone's turn": {Plan{Out: 2, Machines: []Machine{{"m0", []string{"r0"}}, {"m2", []string{"r2"}}, {"m1", []string{"r1"}}}}, func(d *desk) {
+			for i := range 3 {
+				d.runner(fmt.Sprint("r", i), func(r *Runner) { r.Weight = 1 })
+			}
+		}, "m0 leaving, m1 leaving"},
 		"never the last of a kind":        {Plan{Out: 9}, func(d *desk) { d.runner("r0", func(r *Runner) { r.Kind = "rare" }) }, "m1 leaving, m3 leaving, m4 leaving"},
 		"never the last of a zone":        {Plan{Out: 9}, func(d *desk) { d.runner("r0", func(r *Runner) { r.Zone = "far" }) }, "m1 leaving, m2 leaving, m3 leaving"},
 		"a runner of the plan is unknown": {Plan{}, func(d *desk) { delete(d.adv.Fleet, "r0") }, "m0 leaving"},
@@ -209,7 +215,7 @@
 				d.tick(sec / 100)
 			}
 			d.steps(c.want)
-			if c.want == "" && len(d.s.Why(d.s.Plans[0], &d.adv)) != 6 {
+			if c.want == "" && len(d.s.Why(d.s.Plans[0], &d.adv)) != len(d.s.Plans[0].Places) {
 				t.Errorf("why: %v", d.s.Why(d.s.Plans[0], &d.adv))
 			}
 		})
--- a/internal/store/guard_test.go
+++ b/internal/store/guard_test.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -108,3 +109,62 @@
 		}
 	}
 }
+
+// Where nothing is known of plans the module hears that it may not use a worker before it hears of the worker; and that a
+// lease has run out though nobody says so.
+func TestTheModuleHearsOfTheLease(t *testing.T) {
+	m := &script{}
+	s := newStore(t, m)
+	s.Blind(true)
+	s.News(listOf(rules.Ready, "a:1", 0))
+	if len(m.events) < 2 || m.events[0].Kind != rules.TakenOut || m.events[1].Kind != rules.ListChange {
+		t.Errorf("it heard %+v", m.events)
+	}
+	s.Lease(time.Now().Add(2 * time.Millisecond))
+	was := len(m.of(rules.TakenOut))
+	time.Sleep(3 * time.Millisecond)
+	s.Beat()
+	if n := len(m.of(rules.TakenOut)); n != was+1 {
+		t.Errorf("told %d times of a lease that has run out", n-was)
+	}
+}
+
+// What other members are told of workers.
+func TestFleet(t *testing.T) {
+	s := newStore(t, &script{})
+	entry := func(name string, state rules.State, ago time.Duration) Entry {
+		e := Entry{Name: name, Address: name + ":1", Zone: "a", Kind: "big", State: state, Weight: 2}
+		if ago > 0 {
+			e.Since = time.Now().Add(-ago).UnixMilli()
+		}
+		return e
+	}
+	s.News(List{Index: 1, Whole: true, Entries: []Entry{
+		entry("cold", rules.Ready, time.Second), entry("warm", rules.Ready, time.Hour), entry("drains", rules.Draining, 0),
+		entry("gone", rules.Ready, 0), entry("hand", rules.Ready, 0), entry("back", rules.Ready, 0),
+	}})
+	s.News(List{Index: 2, Entries: []Entry{entry("gone", rules.Gone, 0)}})
+	s.Hand(map[string]Hand{"hand": {Out: true, At: time.Now()}, "back": {Out: true, At: time.Now().Add(-time.Second)}})
+	s.Hand(map[string]Hand{"back": {At: time.Now()}})
+	got := map[string]string{}
+	for _, w := range s.Fleet(time.Hour, time.Minute) {
+		if w.Zone != "a" || w.Kind != "big" || w.Weight != 2 {
+			t.Errorf("%+v", w)
+		}
+		got[w.Name] = fmt.Sprintf("down %t, cold %t, hand %t", w.Down, w.Cold, w.Hand)
+	}
+	for name, want := range map[string]string{
+		"cold": "down false, cold true, hand false", "warm": "down false, cold false, hand false", "drains": "down true, cold false, hand false",
+		"gone": "down true, cold false, hand false", "hand": "down false, cold false, hand true", "back": "down false, cold true, hand false",
+	} {
+		if got[name] != want {
+			t.Errorf("%s: %q, want %q", name, got[name], want)
+		}
+	}
+	time.Sleep(2 * time.Millisecond)
+	for _, w := range s.Fleet(time.Millisecond, time.Minute) {
+		if w.Name == "gone" {
+			t.Error("one that left long ago is told of still")
+		}
+	}
+}
