--- a/internal/agree/disk_test.go
+++ b/internal/agree/disk_test.go
@@ -132,12 +132,12 @@
 // Entries of another leader's go, on the disk too, where others stand in their place.
 func TestEntriesGiveWay(t *testing.T) {
 	folder, _ := folderOf(t)
-	for range 2 {
+	for i := range 2 {
 		d, err := OpenDisk(folder, whoever)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if d.Mark().Last == 4 {
+		if i == 0 {
 			if err := d.save(nil, []*raftpb.Entry{{Index: proto.Uint64(3), Term: proto.Uint64(4)}}, nil); err != nil {
 				t.Fatal(err)
 			}
--- a/internal/council/council_test.go
+++ b/internal/council/council_test.go
@@ -9,11 +9,13 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/sirupsen/logrus/hooks/test"
 	"go.uber.org/goleak"
 
@@ -31,7 +33,8 @@
 	lease time.Time
 	blind []bool // each word on it
 	hand  bool   // the first runner is left out by hand here
-	alive int    // other processes of this dispatcher
+	alive int    // other processes of this dispatcher ...
+	newer bool   // ... and whether one came after this one
 }
 
 func (h *hand) Guard(g store.Guard) { h.mu.Lock(); h.guard = g; h.mu.Unlock() }
@@ -61,7 +64,12 @@
 func (h *hand) beside() (int, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.alive, false
+	return h.alive, h.newer
+}
+
+func quiet() logrus.FieldLogger {
+	log, _ := test.NewNullLogger()
+	return log
 }
 
 // room is three members in one process.
@@ -94,11 +102,10 @@
 func (r *room) start(i int) *Council {
 	own := r.group
 	own.Folder = r.folders[i]
-	log, _ := test.NewNullLogger()
 	r.hands[i] = &hand{}
 	r.all[i] = Start(Options{
 		Group: &own, Self: fmt.Sprint("d", i), Dispatcher: r.hands[i], Beside: r.hands[i].beside,
-		Attempt: 100 * time.Millisecond, Warm: 100 * time.Millisecond, Log: log,
+		Attempt: 100 * time.Millisecond, Warm: 100 * time.Millisecond, Log: quiet(),
 	})
 	return r.all[i]
 }
@@ -232,7 +239,16 @@
 	}
 	r.found()
 	h, bound := r.hands[1], r.call(1, -1, Call{Status: true}).Status.Bounds.Settled
+	if want := (time.Second + 100*time.Millisecond) * 101 / 100; bound != want {
+		t.Errorf("a silent member is waited for %v, want lease and attempt with the drift, %v", bound, want)
+	}
+	if !r.all[1].report().Alone {
+		t.Error("it is not alone though it has run for longer than attempts may")
+	}
 	r.all[1].Stretch(time.Minute)
+	if r.all[1].report().Alone {
+		t.Error("a process before may have left an attempt that runs still")
+	}
 	if _, _, runs, _ := h.see(); runs {
 		t.Error("a lease for attempts that the group does not wait for")
 	}
@@ -273,6 +289,87 @@
 	if out, err := c.onReport(ctx, group.Sender{}, raw); err == nil {
 		t.Errorf("granted without a quorum: %s", out)
 	}
+	c.Close()
+	r.start(1)
+	r.until("it sends by its disk, though nobody is there", func() bool { _, _, _, blind := r.hands[1].see(); return !blind })
+}
+
+// A newer process of the dispatcher gets the place in the group, and the one before takes it again if that goes.
+func TestTheNewerProcessSpeaks(t *testing.T) {
+	r := newRoom(t)
+	defer r.close()
+	for i := range r.all {
+		r.start(i)
+	}
+	r.found()
+	r.hands[0].set(func() { r.hands[0].newer = true })
+	r.until("its place is free, and another leads", func() bool {
+		if s := r.call(1, -1, Call{Status: true}).Status; s == nil || !s.Settled || s.Leader == "d0" {
+			return false
+		}
+		l, err := net.Listen("tcp", r.at[0])
+		if err == nil {
+			l.Close()
+		}
+		return err == nil
+	})
+	time.Sleep(2 * voiceEvery)
+	if r.all[0].agreement() != nil {
+		t.Error("it has taken its place again beside a newer one")
+	}
+	r.hands[0].set(func() { r.hands[0].newer = false })
+	r.until("it speaks again", func() bool { a := r.all[0].agreement(); return a != nil && a.Status().Leader != 0 })
+}
+
+// Who cannot reach the leader is heard through another member.
+func TestCallsAreRelayed(t *testing.T) {
+	r := newRoom(t)
+	defer r.close()
+	r.start(0)
+	r.start(1)
+	r.group.Peers = slices.Clone(r.group.Peers)
+	r.group.Peers[0].Link = "127.83.7.9:1" // nobody is there
+	r.start(2)
+	r.until("it is founded", func() bool { return r.call(0, -1, Call{Found: true}).Code == outage.Yes })
+	r.until("the third is answered by the first", func() bool {
+		s := r.call(2, -1, Call{Status: true}).Status
+		return s != nil && s.Settled && s.Told == "d0" && len(s.Members) == 3
+	})
+}
+
+// What keeps a process that is alone from taking part is told by key; a folder that the system refuses does not.
+func TestCheck(t *testing.T) {
+	r := newRoom(t)
+	defer r.close()
+	o := Options{Group: &r.group, Self: "d1", Log: quiet()}
+	r.group.Folder = r.folders[0]
+	if err := Check(o); err != nil {
+		t.Error(err)
+	}
+	other := o
+	other.Self = "d2"
+	l, err := net.Listen("tcp", r.at[2])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	err = Check(other)
+	for _, want := range []string{"group.member[2].link: ", "group.folder: ", `member "d1"`} {
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q is not in: %v", want, err)
+		}
+	}
+	none := filepath.Join(r.folders[1], "file")
+	if err := os.WriteFile(none, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	r.group.Folder = none // no folder can be there
+	if err := Check(o); err != nil {
+		t.Error(err)
+	}
+	r.folders[1] = none
+	r.start(1)
+	r.until("it speaks", func() bool { return r.call(1, -1, Call{Status: true, Local: true}).Status != nil })
 }
 
 // A member whose disk is older than what its life has said begins another: it votes and sends by nothing that it has, nothing
@@ -350,10 +447,9 @@
 		if err = errors.Join(err, d.Close()); err != nil {
 			t.Fatal(err)
 		}
-		log, _ := test.NewNullLogger()
 		h := &hand{}
 		c := Start(Options{
-			Group: &g, Self: "d0", Dispatcher: h, Beside: func() (int, bool) { return 0, false }, Attempt: time.Second, Log: log,
+			Group: &g, Self: "d0", Dispatcher: h, Beside: func() (int, bool) { return 0, false }, Attempt: time.Second, Log: quiet(),
 		})
 		for end := time.Now().Add(10 * time.Second); c.agreement() == nil && time.Now().Before(end); {
 			time.Sleep(time.Millisecond)
