--- a/internal/outage/outage_test.go
+++ b/internal/outage/outage_test.go
@@ -241,6 +241,48 @@
 	}
 }
 
+// Staff who keep a machine too long, and a machine that does not come back in time: it is told, and it may still come.
+func TestLateReturn(t *testing.T) {
+	d := newDesk(t, Plan{Work: 2 * sec, Back: 5 * sec, Overdue: Pause})
+	d.start()
+	d.tick(sec)
+	d.call(Yes, Command{Kind: Take, Machine: "m0"})
+	d.tick(3 * sec)
+	if u := d.s.Plans[0]; u.Phase != Paused || !u.Places[0].Overdue {
+		t.Errorf("%s, %+v", u.Phase, u.Places[0])
+	}
+	d.call(Yes, Command{Kind: Return, Machine: "m0"})
+	d.runner("r0", func(r *Runner) { r.Down = true })
+	d.tick(6 * sec)
+	d.steps("m0 failed")
+	d.call(Wrong, Command{Kind: Take, Machine: "m0"})
+	d.runner("r0", func(r *Runner) { r.Down = false })
+	d.tick(sec)
+	d.tick(sec)
+	d.steps("m0 done")
+}
+
+// Two plans share the budget: what one has taken counts against the other.
+func TestTwoPlans(t *testing.T) {
+	d := newDesk(t, Plan{Machines: []Machine{{"m0", []string{"r0"}}}})
+	d.call(Yes, Command{Kind: HandIn, Plan: &Plan{Name: "q", Out: 1, Overdue: Wait, Machines: []Machine{{"n1", []string{"r1"}}}}})
+	d.call(Yes, Command{Kind: Start, Name: "q"})
+	d.start()
+	d.tick(sec)
+	_, n1 := d.s.Find("q", "n1")
+	_, m0 := d.s.Find("p", "m0")
+	if away := len(d.s.Away()); away != 1 {
+		t.Errorf("%d runners away: %s, %s", away, m0.Step, n1.Step)
+	}
+	d.call(Yes, Command{Kind: Abort, Name: "p"})
+	for range 4 {
+		d.tick(3 * sec)
+	}
+	if n1.Step != Clear {
+		t.Errorf("once the other is through: %s", n1.Step)
+	}
+}
+
 // Time that was counted once never counts again, whoever counted it.
 func TestTimeCountsOnce(t *testing.T) {
 	d := newDesk(t, Plan{})
