Bound attempts by the longest deadline of a class where there is a group

A client may give a request up to an hour. The group waits for a silent member as long as the longest deadline of a class says, so a machine could be told clear while an attempt of a lost member ran on there for its client's time. Found by reading. In a group no attempt runs for longer than that now; where a client gives more, a further one may follow. Longer settings at SIGHUP carry the time to be warm too.

--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -44,6 +44,7 @@
 // Dispatcher is what a council needs of the dispatcher: store.Store has it.
 type Dispatcher interface {
 	Guard(store.Guard)
+	AttemptsMost(time.Duration)
 	Lease(until time.Time)
 	Blind(bool)
 	Busy() []string
@@ -56,7 +57,8 @@
 	Self       string
 	Dispatcher Dispatcher
 	Beside     func() (alive int, newer bool) // other processes of this dispatcher, and whether one came after us
-	Attempt    time.Duration                  // the longest that an attempt may run
+	Deadline   time.Duration                  // the longest of a class: no attempt runs for longer
+	Connect    time.Duration                  // that an attempt may take to connect
 	Warm       time.Duration                  // until a started runner is warm
 	Log        logrus.FieldLogger
 }
@@ -77,6 +79,7 @@
 	heardOf map[uint64]string     // raft ids by the messages that came
 	marks   map[string]agree.Mark // how far lives of others have come, by what they said
 	attempt time.Duration         // the longest that an attempt may run
+	warm    time.Duration         // until a started runner is warm
 	voice   *voice                // nil: another process of this dispatcher has it, or we are not in yet
 }
 
@@ -128,7 +131,8 @@
 func Start(o Options) *Council {
 	ctx, quit := context.WithCancel(context.Background())
 	c := &Council{o: o, quit: quit, done: make(chan struct{}), state: outage.New(), at: time.Now(), changed: make(chan struct{}), words: map[string]heard{},
-		heardOf: map[uint64]string{}, marks: map[string]agree.Mark{}, attempt: o.Attempt}
+		heardOf: map[uint64]string{}, marks: map[string]agree.Mark{}, attempt: o.Deadline + o.Connect, warm: o.Warm}
+	o.Dispatcher.AttemptsMost(o.Deadline)
 	o.Dispatcher.Blind(o.Group.Plans && !plant.On(plant.SeesAnyway))
 	go c.run(ctx)
 	return c
@@ -140,13 +144,16 @@
 	return d + d/driftPart // whoever measures it may have the quicker clock
 }
 
-// Stretch says that attempts may run for longer from its return on. There is no lease until the group waits for as long.
-func (c *Council) Stretch(attempt time.Duration) {
+// Stretch says that the times of Options of these names are others from its return on; only longer ones change anything. There
+// is no lease until the group waits for as long.
+func (c *Council) Stretch(deadline, connect, warm time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if attempt > c.attempt {
+	c.warm = max(c.warm, warm)
+	if attempt := deadline + connect; attempt > c.attempt {
 		c.attempt = attempt
-		c.o.Dispatcher.Lease(time.Time{})
+		c.o.Dispatcher.Lease(time.Time{}) // before any attempt is ordered that may run for longer
+		c.o.Dispatcher.AttemptsMost(deadline)
 	}
 }
 
--- a/internal/council/council_test.go
+++ b/internal/council/council_test.go
@@ -31,16 +31,19 @@
 	mu    sync.Mutex
 	guard store.Guard
 	lease time.Time
-	blind []bool // each word on it
-	hand  bool   // the first runner is left out by hand here
-	alive int    // other processes of this dispatcher ...
-	newer bool   // ... and whether one came after this one
+	blind []bool        // each word on it
+	most  time.Duration // that an attempt may run
+	hand  bool          // the first runner is left out by hand here
+	alive int           // other processes of this dispatcher ...
+	newer bool          // ... and whether one came after this one
 }
 
-func (h *hand) Guard(g store.Guard) { h.mu.Lock(); h.guard = g; h.mu.Unlock() }
-func (h *hand) Lease(t time.Time)   { h.mu.Lock(); h.lease = t; h.mu.Unlock() }
-func (h *hand) Blind(b bool)        { h.mu.Lock(); h.blind = append(h.blind, b); h.mu.Unlock() }
-func (h *hand) Busy() []string      { return nil }
+func (h *hand) Guard(g store.Guard)          { h.mu.Lock(); h.guard = g; h.mu.Unlock() }
+func (h *hand) Lease(t time.Time)            { h.mu.Lock(); h.lease = t; h.mu.Unlock() }
+func (h *hand) Blind(b bool)                 { h.mu.Lock(); h.blind = append(h.blind, b); h.mu.Unlock() }
+func (h *hand) AttemptsMost(d time.Duration) { h.mu.Lock(); h.most = d; h.mu.Unlock() }
+
+func (h *hand) Busy() []string { return nil }
 
 func (h *hand) Fleet(_, _ time.Duration) (all []store.Seen) {
 	h.mu.Lock()
@@ -105,7 +108,7 @@
 	r.hands[i] = &hand{}
 	r.all[i] = Start(Options{
 		Group: &own, Self: fmt.Sprint("d", i), Dispatcher: r.hands[i], Beside: r.hands[i].beside,
-		Attempt: 100 * time.Millisecond, Warm: 100 * time.Millisecond, Log: quiet(),
+		Deadline: 60 * time.Millisecond, Connect: 40 * time.Millisecond, Warm: 100 * time.Millisecond, Log: quiet(),
 	})
 	return r.all[i]
 }
@@ -245,10 +248,17 @@
 	if !r.all[1].report().Alone {
 		t.Error("it is not alone though it has run for longer than attempts may")
 	}
-	r.all[1].Stretch(time.Minute)
+	r.all[1].Stretch(time.Minute, time.Second, 0)
 	if r.all[1].report().Alone {
 		t.Error("a process before may have left an attempt that runs still")
 	}
+	for i, want := range []time.Duration{60 * time.Millisecond, time.Minute} {
+		r.hands[i].set(func() {
+			if r.hands[i].most != want {
+				t.Errorf("attempts of member %d may run for %v, want %v", i, r.hands[i].most, want)
+			}
+		})
+	}
 	if _, _, runs, _ := h.see(); runs {
 		t.Error("a lease for attempts that the group does not wait for")
 	}
@@ -450,7 +460,7 @@
 		}
 		h := &hand{}
 		c := Start(Options{
-			Group: &g, Self: "d0", Dispatcher: h, Beside: func() (int, bool) { return 0, false }, Attempt: time.Second, Log: quiet(),
+			Group: &g, Self: "d0", Dispatcher: h, Beside: func() (int, bool) { return 0, false }, Deadline: time.Second, Log: quiet(),
 		})
 		for end := time.Now().Add(10 * time.Second); c.agreement() == nil && time.Now().Before(end); {
 			time.Sleep(time.Millisecond)
--- a/internal/council/member.go
+++ b/internal/council/member.go
@@ -166,9 +166,12 @@
 	if i < 0 || j.ID == 0 || j.Life == "" {
 		return nil, &group.Refused{Text: "no member by our file: " + j.Name}
 	}
+	a, founded := c.agreement(), c.who().Founded
+	if a == nil { // our place has just gone to another process
+		return nil, errOutside
+	}
 	c.mu.Lock()
 	m := c.state.Members[j.Name]
-	founded := c.voice.who.Founded
 	c.mu.Unlock()
 	if m != nil && m.Was(j.Life) {
 		return nil, &group.Refused{Text: "an earlier life of " + j.Name}
@@ -180,7 +183,7 @@
 		if err != nil {
 			return nil, err
 		}
-		err = c.agreement().Change(ctx, []*raftpb.ConfChangeSingle{change(raftpb.ConfChangeAddLearnerNode, j.ID)}, entry)
+		err = a.Change(ctx, []*raftpb.ConfChangeSingle{change(raftpb.ConfChangeAddLearnerNode, j.ID)}, entry)
 		if err != nil {
 			return nil, err
 		}
@@ -299,7 +302,7 @@
 	a := c.agreement()
 	c.mu.Lock()
 	v := c.voice
-	r := report{Name: c.o.Self, Bound: c.bound(), Warm: c.o.Warm, Plans: c.o.Group.Plans}
+	r := report{Name: c.o.Self, Bound: c.bound(), Warm: c.warm, Plans: c.o.Group.Plans}
 	attempt := c.attempt
 	c.mu.Unlock()
 	if a == nil || v == nil {
@@ -310,7 +313,7 @@
 	// A process of ours that ended may have left attempts behind; one that lives may send by what it knew.
 	r.Alone = alive == 0 && time.Since(v.began) > attempt
 	r.Busy = c.o.Dispatcher.Busy()
-	for _, w := range c.o.Dispatcher.Fleet(goneCounts, c.o.Warm) {
+	for _, w := range c.o.Dispatcher.Fleet(goneCounts, r.Warm) {
 		if w.Down {
 			r.Down = append(r.Down, w.Name)
 		}
@@ -331,6 +334,9 @@
 		return nil, &group.Refused{Text: "no report: " + err.Error()}
 	}
 	a := c.agreement()
+	if a == nil {
+		return nil, errOutside
+	}
 	index, err := a.Read(ctx) // a quorum confirms that we lead still, after the member asked
 	if err != nil {
 		return nil, err
@@ -385,10 +391,10 @@
 // advance is all that has been heard. The lock is held.
 func (c *Council) advance() *outage.Advance {
 	adv := &outage.Advance{
-		Seq: c.state.Seq, Waited: time.Since(c.at), Bound: c.bound(), Warm: c.o.Warm,
+		Seq: c.state.Seq, Waited: time.Since(c.at), Bound: c.bound(), Warm: c.warm,
 		Words: map[string]outage.Word{}, Fleet: map[string]outage.Runner{},
 	}
-	for _, w := range c.o.Dispatcher.Fleet(goneCounts, c.o.Warm) {
+	for _, w := range c.o.Dispatcher.Fleet(goneCounts, c.warm) {
 		adv.Fleet[w.Name] = outage.Runner{Zone: w.Zone, Kind: w.Kind, Weight: w.Weight, Down: w.Down, Cold: w.Cold, Hand: w.Hand}
 	}
 	mark := func(names []string, f func(*outage.Runner)) {
--- a/internal/council/staff.go
+++ b/internal/council/staff.go
@@ -124,6 +124,9 @@
 	ctx, cancel := context.WithTimeout(ctx, settleWait)
 	defer cancel()
 	a := c.agreement()
+	if a == nil {
+		return nil, errOutside
+	}
 	index, err := a.Read(ctx)
 	if err == nil {
 		err = c.inForce(ctx, index)
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -125,19 +125,25 @@
 	return c.Operator.Group
 }
 
-// attempt is the longest that an attempt may run at a worker after its last byte, with what it took to connect.
-func (c *Config) attempt() time.Duration {
-	longest := time.Duration(0)
+// longest is the longest deadline of a class.
+func (c *Config) longest() (d time.Duration) {
 	for _, k := range c.Settings.Classes {
-		longest = max(longest, time.Duration(k.Deadline)*time.Microsecond)
+		d = max(d, time.Duration(k.Deadline)*time.Microsecond)
 	}
-	connect := time.Duration(c.Settings.ConnectTimeout) * time.Microsecond
-	if connect <= 0 {
-		connect = connectSpare
+	return d
+}
+
+// connect is how long a connection to a worker may take to come up.
+func (c *Config) connect() time.Duration {
+	if d := time.Duration(c.Settings.ConnectTimeout) * time.Microsecond; d > 0 {
+		return d
 	}
-	return longest + connect
+	return connectSpare
 }
 
+// warm is how long a worker may take to be warm.
+func (c *Config) warm() time.Duration { return time.Duration(c.Settings.WarmWithin) * time.Microsecond }
+
 // doors is how many connections the operators' door holds at the most; 0 where there is none.
 func (c *Config) doors() int {
 	if c.Admin == "" {
--- a/internal/node/group.go
+++ b/internal/node/group.go
@@ -2,11 +2,7 @@
 
 package node
 
-import (
-	"time"
-
-	"birchfork/internal/council"
-)
+import "birchfork/internal/council"
 
 // groupsLinked says that this build has what groups need.
 const groupsLinked = true
@@ -19,8 +15,8 @@
 		return nil
 	}
 	o := council.Options{
-		Group: g, Self: n.config.Name, Dispatcher: n.store, Attempt: n.config.attempt(),
-		Warm: time.Duration(n.config.Settings.WarmWithin) * time.Microsecond, Log: n.log.WithField("part", "group"),
+		Group: g, Self: n.config.Name, Dispatcher: n.store, Deadline: n.config.longest(), Connect: n.config.connect(),
+		Warm: n.config.warm(), Log: n.log.WithField("part", "group"),
 		Beside: func() (int, bool) { return int(n.beside.Load()), n.newer.Load() }, // as of the last look: see share
 	}
 	if n.beside.Load() == 0 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -130,10 +130,10 @@
 
 // part is this process's part in a group of dispatchers.
 type part interface {
-	Leave()                        // this process stops soon
-	Close()                        // it takes part no more
-	Stretch(attempt time.Duration) // attempts may run for longer from now on
-	Fields() logrus.Fields         // for the log
+	Leave()                                        // this process stops soon
+	Close()                                        // it takes part no more
+	Stretch(deadline, connect, warm time.Duration) // attempts, and runners until they are warm, may take longer from now on
+	Fields() logrus.Fields                         // for the log
 }
 
 // start brings a dispatcher up. It serves when start returns, unless another process of this dispatcher does: then it
@@ -329,11 +329,7 @@
 
 // grace is how long after the signal all has to be answered.
 func (n *node) grace() time.Duration {
-	longest := time.Duration(0)
-	for _, c := range n.inForce().Settings.Classes {
-		longest = max(longest, time.Duration(c.Deadline)*time.Microsecond)
-	}
-	return min(longest, graceMost) + graceSpare - stopSpare
+	return min(n.inForce().longest(), graceMost) + graceSpare - stopSpare
 }
 
 // accept is how long all is taken as before, out of the time that is left.
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -51,7 +51,7 @@
 	}
 	came, went := differ(was.Names.Classes(), c.Names.Classes())
 	if n.part != nil {
-		n.part.Stretch(c.attempt()) // before anything can run for longer
+		n.part.Stretch(c.longest(), c.connect(), c.warm()) // before anything can run for longer
 	}
 	n.store.Retune(r)
 	n.pool.Tune(dialer(c.Settings), idleLife(c.Settings))
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -158,10 +158,10 @@
 func (f *fakePart) Close()                {}
 func (f *fakePart) Fields() logrus.Fields { return nil }
 
-func (f *fakePart) Stretch(attempt time.Duration) {
+func (f *fakePart) Stretch(deadline, connect, _ time.Duration) {
 	if f.told++; f.told == 1 {
 		_, err := f.n.store.Open(store.Job{ID: "early", Class: "find", Left: time.Second})
-		f.late = !errors.Is(err, store.ErrClass) || attempt < 5*time.Second
+		f.late = !errors.Is(err, store.ErrClass) || deadline != 5*time.Second || connect <= 0
 	}
 }
 
--- a/internal/store/guard.go
+++ b/internal/store/guard.go
@@ -49,6 +49,14 @@
 	s.bar()
 }
 
+// AttemptsMost bounds attempts that are ordered from now on, whatever time their clients give: a group that waits for a silent
+// member has to know for how long something of that may run. 0 sets no bound.
+func (s *Store) AttemptsMost(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.attemptMost = d
+}
+
 // Lease says until when the group's lease runs; a moment before the present one says that it runs no more.
 func (s *Store) Lease(until time.Time) {
 	s.mu.Lock()
--- a/internal/store/guard_test.go
+++ b/internal/store/guard_test.go
@@ -168,3 +168,26 @@
 		}
 	}
 }
+
+// A client's time does not stretch an attempt over what the group waits for, and a shorter one counts.
+func TestAttemptsMost(t *testing.T) {
+	m := &script{on: sends}
+	s := newStore(t, m)
+	s.News(listOf(rules.Ready, "a:1", 0))
+	for i, c := range []struct{ left, most, want time.Duration }{
+		{time.Hour, 0, time.Hour}, {time.Hour, time.Minute, time.Minute}, {time.Second, time.Minute, time.Second},
+	} {
+		s.AttemptsMost(c.most)
+		j := one(fmt.Sprint(i))
+		j.Left = c.left
+		r, err := s.Open(j)
+		if err != nil {
+			t.Fatal(err)
+		}
+		end, _ := (<-r.Orders()).Attempt.Context().Deadline()
+		if left := time.Until(end); left > c.want || left < c.want-time.Second/2 {
+			t.Errorf("%+v: it ends in %v", c, left)
+		}
+		r.Leave()
+	}
+}
--- a/internal/store/request.go
+++ b/internal/store/request.go
@@ -221,6 +221,11 @@
 			end = e
 		}
 	}
+	if most := r.s.attemptMost; most > 0 {
+		if e := time.Now().Add(most); e.Before(end) {
+			end = e
+		}
+	}
 	r.s.names.NoteSend(r.id)
 	r.hold.sent()
 	t := &Attempt{r: r, number: len(r.attempts), worker: a.Worker, sentAt: now}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -65,12 +65,13 @@
 	beat      time.Time // when the process last showed that it runs; zero: nobody tells
 	restUntil time.Time // nothing is sent before: a stall has just ended
 
-	leased     []rules.WorkerID // workers of plans under way
-	away       []rules.WorkerID // ... and those that are taken out
-	leaseUntil time.Time        // of the group's lease
-	underLease atomic.Bool      // some worker may be sent to under the lease only: read without the lock
-	blind      bool             // nothing is sent anywhere without the lease
-	barred     bool             // some worker is left out for want of the lease
+	leased      []rules.WorkerID // workers of plans under way
+	away        []rules.WorkerID // ... and those that are taken out
+	leaseUntil  time.Time        // of the group's lease
+	attemptMost time.Duration    // an attempt ends so long after it was ordered, at the latest; 0: no bound
+	underLease  atomic.Bool      // some worker may be sent to under the lease only: read without the lock
+	blind       bool             // nothing is sent anywhere without the lease
+	barred      bool             // some worker is left out for want of the lease
 
 	onNews func(w WorkerNews)
 }
