Mend a race in the test of a stalled peer

Links read their peers as they run and nobody changes them, so the fault was the test's: both peers are now named before the first message.

--- a/internal/group/links_test.go
+++ b/internal/group/links_test.go
@@ -90,7 +90,9 @@
 		t.Fatal(err)
 	}
 	defer stalled.Close()
-	p.a.o.Peers = append(p.a.o.Peers, Peer{Name: "c", Link: stalled.Addr().String()})
+	for _, name := range []string{"c", "d"} { // both before the first Post: links read their peers as they run
+		p.a.o.Peers = append(p.a.o.Peers, Peer{Name: name, Link: stalled.Addr().String()})
+	}
 	for range 2 * queueMost {
 		p.a.Post("c", "/x", []byte("m"))
 	}
@@ -98,7 +100,6 @@
 		t.Errorf("%d dropped", n)
 	}
 	was := p.a.Counters.Dropped.Load()
-	p.a.o.Peers = append(p.a.o.Peers, Peer{Name: "d", Link: stalled.Addr().String()})
 	for range 4 { // one is on its way, one waits
 		p.a.Post("d", "/x", make([]byte, queueBytes/2+1))
 	}
