Give up in the kernel what a silent link holds back, and wait for it

Cause: a request written to a link that had gone silent stays in the kernel, which sends it again for minutes, also after its process was stopped, killed or had closed the connection with data unsent. A runner could get it long after the group had called its machine clear. Found by reading; the rig has no faults on the links to workers yet.

Change: where there is a group, connections to runners are reset when they are closed (SO_LINGER 0) and the kernel gives up what is not acknowledged within the longest deadline of a class (TCP_USER_TIMEOUT). The bound on a silent member grows by that time, from connect + deadline to connect + twice the deadline. The reset by the end of an attempt alone went out of wire and store.

--- a/cmd/birchfork/labgroup.go
+++ b/cmd/birchfork/labgroup.go
@@ -38,7 +38,7 @@
 	Members  int           `help:"Members, each a process of its own, in place of the scenario's 3." placeholder:"N"`
 	Seed     uint64        `help:"What the day and its faults are drawn by; with --runs, of the first run." default:"1"`
 	Runs     int           `help:"So many runs, one after the other, each with the next seed." default:"1"`
-	For      time.Duration `help:"Length of a run in place of the scenario's 22s." placeholder:"TIME"`
+	For      time.Duration `help:"Length of a run in place of the scenario's 24s." placeholder:"TIME"`
 	Storm    int           `help:"Faults that are drawn from the seed; 4 where no scenario is named." default:"-1" placeholder:"N"`
 	Machines int           `help:"Machines of the plan in place of the scenario's 2." default:"-1" placeholder:"N"`
 	Out      int           `help:"Machines that may be away at a time in place of the scenario's 1." placeholder:"N"`
--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -58,7 +58,7 @@
 	Dispatcher Dispatcher
 	Beside     func() (alive int, newer bool) // other processes of this dispatcher, and whether one came after us
 	Deadline   time.Duration                  // the longest of a class: no attempt runs for longer
-	Connect    time.Duration                  // that an attempt may take to connect
+	Arrive     time.Duration                  // from an attempt's order until its last byte has come, or never comes
 	Warm       time.Duration                  // until a started runner is warm
 	Log        logrus.FieldLogger
 }
@@ -78,7 +78,7 @@
 	heard   bool                  // noted on the disk: the loop that renews has it
 	heardOf map[uint64]string     // raft ids by the messages that came
 	marks   map[string]agree.Mark // how far lives of others have come, by what they said
-	attempt time.Duration         // the longest that an attempt may run
+	attempt time.Duration         // the longest from an attempt's order until it runs no more
 	warm    time.Duration         // until a started runner is warm
 	voice   *voice                // nil: another process of this dispatcher has it, or we are not in yet
 }
@@ -131,7 +131,7 @@
 func Start(o Options) *Council {
 	ctx, quit := context.WithCancel(context.Background())
 	c := &Council{o: o, quit: quit, done: make(chan struct{}), state: outage.New(), at: time.Now(), changed: make(chan struct{}), words: map[string]heard{},
-		heardOf: map[uint64]string{}, marks: map[string]agree.Mark{}, attempt: o.Deadline + o.Connect, warm: o.Warm}
+		heardOf: map[uint64]string{}, marks: map[string]agree.Mark{}, attempt: o.Deadline + o.Arrive, warm: o.Warm}
 	o.Dispatcher.AttemptsMost(o.Deadline)
 	o.Dispatcher.Blind(o.Group.Plans && !plant.On(plant.SeesAnyway))
 	go c.run(ctx)
@@ -146,11 +146,11 @@
 
 // Stretch says that the times of Options of these names are others from its return on; only longer ones change anything. There
 // is no lease until the group waits for as long.
-func (c *Council) Stretch(deadline, connect, warm time.Duration) {
+func (c *Council) Stretch(deadline, arrive, warm time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.warm = max(c.warm, warm)
-	if attempt := deadline + connect; attempt > c.attempt {
+	if attempt := deadline + arrive; attempt > c.attempt {
 		c.attempt = attempt
 		c.o.Dispatcher.Lease(time.Time{}) // before any attempt is ordered that may run for longer
 		c.o.Dispatcher.AttemptsMost(deadline)
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -133,12 +133,14 @@
 	return d
 }
 
-// connect is how long a connection to a worker may take to come up.
-func (c *Config) connect() time.Duration {
-	if d := time.Duration(c.Settings.ConnectTimeout) * time.Microsecond; d > 0 {
-		return d
+// arrive is how long an attempt may take from its order until its last byte is there: to connect, and what a silent link holds
+// back until the kernel gives it up, see givesUp.
+func (c *Config) arrive() time.Duration {
+	connect := time.Duration(c.Settings.ConnectTimeout) * time.Microsecond
+	if connect <= 0 {
+		connect = connectSpare
 	}
-	return connectSpare
+	return connect + c.longest()
 }
 
 // warm is how long a worker may take to be warm.
--- a/internal/node/group.go
+++ b/internal/node/group.go
@@ -15,7 +15,7 @@
 		return nil
 	}
 	o := council.Options{
-		Group: g, Self: n.config.Name, Dispatcher: n.store, Deadline: n.config.longest(), Connect: n.config.connect(),
+		Group: g, Self: n.config.Name, Dispatcher: n.store, Deadline: n.config.longest(), Arrive: n.config.arrive(),
 		Warm: n.config.warm(), Log: n.log.WithField("part", "group"),
 		Beside: func() (int, bool) { return int(n.beside.Load()), n.newer.Load() }, // as of the last look: see share
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
 
 	"birchfork/internal/admin"
 	"birchfork/internal/handover"
@@ -130,10 +131,10 @@
 
 // part is this process's part in a group of dispatchers.
 type part interface {
-	Leave()                                        // this process stops soon
-	Close()                                        // it takes part no more
-	Stretch(deadline, connect, warm time.Duration) // attempts, and runners until they are warm, may take longer from now on
-	Fields() logrus.Fields                         // for the log
+	Leave()                                       // this process stops soon
+	Close()                                       // it takes part no more
+	Stretch(deadline, arrive, warm time.Duration) // attempts, and runners until they are warm, may take longer from now on
+	Fields() logrus.Fields                        // for the log
 }
 
 // start brings a dispatcher up. It serves when start returns, unless another process of this dispatcher does: then it
@@ -154,7 +155,7 @@
 	if c.Operator != nil {
 		n.store.Limit(c.Operator.Table, c.Operator.Limits, c.Settings.Classes)
 	}
-	n.pool = store.NewPool(dialer(c.Settings), &n.store.Counters, 0, idleLife(c.Settings))
+	n.pool = store.NewPool(c.dialer(), &n.store.Counters, 0, idleLife(c.Settings))
 	n.store.OnNews(func(w store.WorkerNews) { n.pool.Drop(w.Address) })
 	// Before any list: where plans are in use nothing is sent before the group is heard of.
 	if err := n.takePart(); err != nil {
@@ -275,11 +276,26 @@
 }
 
 // dialer opens connections to workers in the time that the settings allow.
-func dialer(s rules.Settings) store.Dial {
-	d := net.Dialer{Timeout: time.Duration(s.ConnectTimeout) * time.Microsecond, KeepAlive: -1}
+func (c *Config) dialer() store.Dial {
+	d := net.Dialer{Timeout: time.Duration(c.Settings.ConnectTimeout) * time.Microsecond, KeepAlive: -1}
+	if c.group() != nil {
+		d.Control = c.givesUp
+	}
 	return func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) }
 }
 
+// givesUp has the kernel hold nothing back for a silent link that a runner could get long after the group takes it for clear: a
+// connection that is closed, or whose process ends, is reset with what it has not sent, and one whose process stands still
+// gives up after the longest deadline.
+func (c *Config) givesUp(_, _ string, raw syscall.RawConn) (err error) {
+	outer := raw.Control(func(fd uintptr) {
+		err = errors.Join(
+			unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1}),
+			unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(c.longest().Milliseconds())))
+	})
+	return errors.Join(outer, err)
+}
+
 // idleLife is how long a connection to a worker may stand idle with us.
 func idleLife(s rules.Settings) time.Duration {
 	if s.IdleClose <= 0 {
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -51,10 +51,10 @@
 	}
 	came, went := differ(was.Names.Classes(), c.Names.Classes())
 	if n.part != nil {
-		n.part.Stretch(c.longest(), c.connect(), c.warm()) // before anything can run for longer
+		n.part.Stretch(c.longest(), c.arrive(), c.warm()) // before anything can run for longer
 	}
 	n.store.Retune(r)
-	n.pool.Tune(dialer(c.Settings), idleLife(c.Settings))
+	n.pool.Tune(c.dialer(), idleLife(c.Settings))
 	n.advise(c.Settings)
 	n.discovery.Move(c.Discovery)
 	n.tuned.Store(c)
--- a/internal/store/pool.go
+++ b/internal/store/pool.go
@@ -146,13 +146,6 @@
 	p.mu.Unlock()
 }
 
-// SetLinger makes Close wait so many seconds for what was written, or drop it with 0; where it cannot, nothing changes.
-func (c *Conn) SetLinger(seconds int) {
-	if t, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
-		t.SetLinger(seconds)
-	}
-}
-
 // Put gives a connection back after a whole answer, for further use.
 func (p *Pool) Put(c *Conn) {
 	if c.Reader.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil { // it said more than its answer
--- a/internal/wire/runner.go
+++ b/internal/wire/runner.go
@@ -168,8 +168,7 @@
 	msg := c.appendTo(make([]byte, 0, 512+len(c.body)), a.Address(), time.Until(end))
 	if a.Leased() {
 		// Guards against a runner that was taken out while we stood still in the middle of the request: it begins with the
-		// last byte, and what the kernel holds for a silent link must not come later than we know of.
-		conn.SetLinger(0)
+		// last byte.
 		if _, err := conn.Write(msg[:len(msg)-1]); err != nil {
 			return unsent(a)
 		}
