Reset attempts that are broken off: a silent link delivered them after the final answer

Cause: where the link to a worker falls silent, what was written stays in the kernel, and closing the connection in order has it sent on for as long as the kernel tries. When the link came back the worker got jobs that had long been answered: "nothing sent after", with or without a group.

Change: an attempt that ends without a whole answer resets its connection. `lab group` has links to workers and discovery that fall silent (far, unlist) and splits of the whole group (halves, thirds, ring); what a link holds is delivered when it is well, unless its sender has reset the connection.

--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -29,6 +29,7 @@
 
 	day    *scenario.Day
 	ledger *judge.Ledger
+	at     func(dispatcher int, address string) string
 
 	mu      sync.Mutex
 	stopped bool
@@ -36,8 +37,9 @@
 	quit    chan struct{}
 }
 
-// New starts the fleet of a day. All workers are up and listed at once.
-func New(day *scenario.Day, l *judge.Ledger, book Book) (*Fleet, error) {
+// New starts the fleet of a day. All workers are up and listed at once; at is by which address a dispatcher reaches one of a
+// worker, nil: by itself.
+func New(day *scenario.Day, l *judge.Ledger, book Book, at func(dispatcher int, address string) string) (*Fleet, error) {
 	t := &day.Scenario.Terms
 	r := scenario.Rand(day.Seed, scenario.StreamErr)
 	var mu sync.Mutex
@@ -49,7 +51,7 @@
 			return r.Float64()
 		},
 	}
-	f := &Fleet{day: day, ledger: l, quit: make(chan struct{})}
+	f := &Fleet{day: day, ledger: l, at: at, quit: make(chan struct{})}
 	cfg.Fell = func(i int) { f.after(0, func() { f.publish(i, StatusRemoved, false, false) }) }
 	for i, w := range day.Workers {
 		f.Workers = append(f.Workers, NewWorker(cfg, w.Name, i, SpecOf(w, t)))
@@ -86,8 +88,12 @@
 		since = time.Now().UnixMilli()
 	}
 	f.Discovery.Publish(News{Worker: i, Life: w.Life(), Endpoint: func(dispatcher int) Endpoint {
+		address := w.Address(dispatcher)
+		if f.at != nil && address != "" {
+			address = f.at(dispatcher, address)
+		}
 		return Endpoint{
-			Name: w.Name, Address: w.Address(dispatcher), Zone: d.Zone, Type: d.Kind, Group: d.Cell, Status: status,
+			Name: w.Name, Address: address, Zone: d.Zone, Type: d.Kind, Group: d.Cell, Status: status,
 			Weight: float64(d.Cores), SinceMs: since,
 		}
 	}}, atOnce)
--- a/internal/lab/groups/groups.go
+++ b/internal/lab/groups/groups.go
@@ -45,11 +45,16 @@
 	Old    = "old"    // it works on, is killed, and started again with the disk that it had at the fault's beginning
 	Term   = "term"   // its process ends in order and is started again
 	Renew  = "renew"  // a process starts beside it, and takes its place
+	Halves = "halves" // the group is in two: members of even numbers, and of odd ones
+	Thirds = "thirds" // ... in three, by their numbers modulo three
+	Ring   = "ring"   // each member reaches the one before it and the one after it alone
+	Far    = "far"    // nothing passes between the member and the workers
+	Unlist = "unlist" // nothing passes between the member and discovery
 	Down   = "down"   // the worker of that number, no member, is killed and starts again cold
 )
 
 // Kinds are all kinds of faults that a storm draws.
-var Kinds = []string{Cut, Deaf, Mute, Apart, Flap, Reset, Slow, Narrow, Torn, Stop, Kill, Wipe, Old, Term, Renew, Down}
+var Kinds = []string{Cut, Deaf, Mute, Apart, Flap, Reset, Slow, Narrow, Torn, Stop, Kill, Wipe, Old, Term, Renew, Halves, Thirds, Ring, Far, Unlist, Down}
 
 // Fault is one fault of the timetable.
 type Fault struct {
@@ -98,6 +103,7 @@
 	stage *lab.Stage
 
 	mu     sync.Mutex
+	outer  []outer // to workers and discovery, in runs with faults there
 	works  []Work
 	seen   []seen
 	result *Result
@@ -107,6 +113,14 @@
 	wiped  time.Duration // when the last disk was lost
 }
 
+// outer is a link from a member to a worker or to discovery.
+type outer struct {
+	kind    string // of the fault that it may have
+	member  int
+	address string
+	link    *link
+}
+
 // down is a worker that was away by itself.
 type down struct{ from, until time.Duration }
 
@@ -134,13 +148,16 @@
 		for _, k := range g.links {
 			k.close()
 		}
+		for _, o := range g.outer {
+			o.link.close()
+		}
 	}()
 	if err := g.lay(); err != nil {
 		return nil, err
 	}
 	g.result.Faults = append(slices.Clone(o.Faults), g.draw()...)
 	rep, err := lab.Run(ctx, lab.Options{
-		Scenario: g.day, Seed: o.Seed, Policy: lab.PolicyRules, Beside: g.play, Judge: g.judge,
+		Scenario: g.day, Seed: o.Seed, Policy: lab.PolicyRules, Beside: g.play, Judge: g.judge, WorkerAt: g.by(Far), ListAt: g.by(Unlist),
 		Launch: func(config string) *exec.Cmd {
 			name := strings.TrimSuffix(filepath.Base(config), ".json")
 			fault := o.Plant
@@ -216,6 +233,30 @@
 	return nil
 }
 
+// by lays links to addresses outside of the group as they are met, for one kind of fault; nil where no such fault is played.
+func (g *rig) by(kind string) func(member int, address string) string {
+	if !slices.ContainsFunc(g.result.Faults, func(f Fault) bool { return f.Kind == kind }) {
+		return nil
+	}
+	return func(member int, address string) string {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		for _, o := range g.outer {
+			if o.kind == kind && o.member == member && o.address == address {
+				return o.link.address()
+			}
+		}
+		k, err := newLink(address)
+		if err != nil {
+			g.result.Last = err.Error()
+			return address
+		}
+		g.outer = append(g.outer, outer{kind, member, address, k})
+		k.set(g.wrong(-1, -1, kind, member))
+		return k.address()
+	}
+}
+
 // voters is how many of so many members vote.
 func voters(n int) int {
 	if n >= 5 {
@@ -554,33 +595,54 @@
 		g.on = slices.Delete(g.on, i, i+1)
 	}
 	for pair, k := range g.links {
-		var now fault
-		for _, f := range g.on {
-			out, in := pair[0] == f.Member, pair[1] == f.Member // whose connections these are, and whom they reach
-			if !out && !in {
-				continue
-			}
-			switch f.Kind {
-			case Cut:
+		k.set(g.wrong(pair[0], pair[1], "", -1))
+	}
+	for _, o := range g.outer {
+		o.link.set(g.wrong(-1, -1, o.kind, o.member))
+	}
+}
+
+// wrong is what is wrong with a link now: of two members, whose connections these are and whom they reach, or of a member to
+// what a kind of faults is for. The lock is held.
+func (g *rig) wrong(from, to int, outer string, member int) (now fault) {
+	for _, f := range g.on {
+		out, in := from == f.Member, to == f.Member
+		cut := false
+		switch f.Kind {
+		case Far, Unlist:
+			cut = f.Kind == outer && f.Member == member
+		case Halves:
+			cut = outer == "" && from%2 != to%2
+		case Thirds:
+			cut = outer == "" && from%3 != to%3
+		case Ring:
+			n := len(g.real)
+			cut = outer == "" && (from+1)%n != to && (to+1)%n != from
+		}
+		now.there, now.back = now.there || cut, now.back || cut
+		if !out && !in {
+			continue
+		}
+		switch f.Kind {
+		case Cut:
+			now.there, now.back = true, true
+		case Apart:
+			if from == f.other || to == f.other {
 				now.there, now.back = true, true
-			case Apart:
-				if pair[0] == f.other || pair[1] == f.other {
-					now.there, now.back = true, true
-				}
-			case Deaf:
-				now.there, now.back = now.there || in, now.back || out
-			case Mute:
-				now.there, now.back = now.there || out, now.back || in
-			case Reset:
-				now.reset = true
-			case Slow:
-				now.delay = 300 * time.Millisecond
-			case Narrow:
-				now.rate = 2000
-			case Torn:
-				now.after = 700
 			}
+		case Deaf:
+			now.there, now.back = now.there || in, now.back || out
+		case Mute:
+			now.there, now.back = now.there || out, now.back || in
+		case Reset:
+			now.reset = true
+		case Slow:
+			now.delay = 300 * time.Millisecond
+		case Narrow:
+			now.rate = 2000
+		case Torn:
+			now.after = 700
 		}
-		k.set(now)
 	}
+	return now
 }
--- a/internal/lab/groups/link.go
+++ b/internal/lab/groups/link.go
@@ -7,10 +7,13 @@
 	"net"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // link forwards connections from one member to another. Its faults hold for both directions of each connection on it or
-// for one alone; what was held is delivered when the fault ends, unless its sender has closed meanwhile.
+// for one alone; what was held is delivered when the fault ends, also where its sender has closed meanwhile, as a kernel does, but not
+// where it has reset the connection. A kernel that gives up by itself is not played.
 type link struct {
 	listener net.Listener
 	to       string
@@ -102,7 +105,7 @@
 
 func (k *link) carry(c net.Conn) {
 	defer func() { k.keep(c, false); c.Close() }()
-	if !k.pass(func(f fault) bool { return f.there }) {
+	if !k.pass(func(f fault) bool { return f.there }) || broken(c) {
 		return
 	}
 	out, err := net.Dial("tcp", k.to)
@@ -146,9 +149,14 @@
 	for {
 		n, err := from.Read(buf)
 		if n > 0 {
+			was, _ := k.now()
 			if !k.pass(held) {
 				return
 			}
+			if held(was) && broken(from) { // its kernel holds it no more
+				reset(to)
+				return
+			}
 			f, _ := k.now()
 			wait := f.delay
 			if f.rate > 0 {
@@ -177,6 +185,21 @@
 	}
 }
 
+// broken tells whether the other side of a connection has reset it.
+func broken(c net.Conn) bool {
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return true
+	}
+	failed := 0
+	err = raw.Control(func(fd uintptr) { failed, _ = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR) })
+	return err != nil || failed != 0
+}
+
 func (k *link) close() {
 	k.mu.Lock()
 	k.shut = true
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -55,6 +55,9 @@
 	Beside func(context.Context, *Stage) // plays beside the day's troubles, from its start; its context ends with the day
 	Judge  func(*Stage) []judge.Breach   // what the rules are beside the four; both may be nil
 
+	// WorkerAt and ListAt are by which address a dispatcher reaches one of a worker or of discovery; nil: by itself.
+	WorkerAt, ListAt func(dispatcher int, address string) string
+
 	Progress func(done, all int) // hears now and then how many requests have ended; may be nil
 }
 
@@ -71,6 +74,7 @@
 	lag         report.Histogram
 	beats       report.Histogram
 	beside      func(context.Context, *Stage)
+	listAt      func(dispatcher int, address string) string
 }
 
 // Run plays a day. A run that ctx ends early is reported as far as it came. An error means that nothing could be played.
@@ -78,6 +82,7 @@
 	r := &run{
 		day: o.Scenario.Draw(o.Seed, o.Storm), ledger: judge.NewLedger(), launch: o.Launch, spawner: newSpawner(),
 		lag: report.NewHistogram(), beats: report.NewHistogram(), beside: o.Beside,
+		listAt: o.ListAt,
 	}
 	defer close(r.spawner.quit)
 	dir, err := os.MkdirTemp("", "birchfork-lab-")
@@ -96,7 +101,7 @@
 		return nil, err
 	}
 	r.load = load.New(r.day, r.ledger, addresses)
-	if r.fleet, err = fleet.New(r.day, r.ledger, r.load); err != nil {
+	if r.fleet, err = fleet.New(r.day, r.ledger, r.load, o.WorkerAt); err != nil {
 		return nil, fmt.Errorf("the fleet: %w", err)
 	}
 	defer r.fleet.Close()
--- a/internal/lab/overhead.go
+++ b/internal/lab/overhead.go
@@ -88,7 +88,7 @@
 		return err
 	}
 	r.load = load.New(r.day, r.ledger, addresses)
-	if r.fleet, err = fleet.New(r.day, r.ledger, book); err != nil {
+	if r.fleet, err = fleet.New(r.day, r.ledger, book, nil); err != nil {
 		return err
 	}
 	defer r.fleet.Close()
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -131,7 +131,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	seed := d.run.day.Seed*1_000_003 + uint64(d.index)*1009 + uint64(d.starts)
-	raw, err := configuration(d.run.day.Scenario, d.index, seed, d.listen, agent.Address(), agent.Known())
+	list := agent.Address()
+	if d.run.listAt != nil {
+		list = d.run.listAt(d.index, list)
+	}
+	raw, err := configuration(d.run.day.Scenario, d.index, seed, d.listen, list, agent.Known())
 	if err != nil {
 		return fmt.Errorf("the configuration of dispatcher %d: %w", d.index, err)
 	}
--- a/internal/store/pool.go
+++ b/internal/store/pool.go
@@ -146,6 +146,14 @@
 	p.mu.Unlock()
 }
 
+// Reset closes the connection and drops what was written and has not arrived.
+func (c *Conn) Reset() error {
+	if t, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
+		t.SetLinger(0)
+	}
+	return c.Close()
+}
+
 // Put gives a connection back after a whole answer, for further use.
 func (p *Pool) Put(c *Conn) {
 	if c.Reader.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil { // it said more than its answer
--- a/internal/wire/runner.go
+++ b/internal/wire/runner.go
@@ -143,7 +143,9 @@
 	e := x.exchange(a, c, conn)
 	usable := unhook() && e.rest != nil
 	if !usable {
-		conn.Close() // before the outcome is told: a further attempt may not meet this one on an open connection
+		// Before the outcome is told: a further attempt may not meet this one on an open connection. Guards with the reset
+		// against a link that was silent: the kernel would go on sending what was written, after the final answer too.
+		conn.Reset()
 	}
 	if e.silent {
 		// Guards against a machine that vanished: its idle connections look open and swallow what they are given, while
--- a/internal/wire/runner_test.go
+++ b/internal/wire/runner_test.go
@@ -148,6 +148,12 @@
 type closeSpy struct {
 	net.Conn
 	closed func()
+	linger *int // seconds
+}
+
+func (c closeSpy) SetLinger(seconds int) error {
+	*c.linger = seconds
+	return nil
 }
 
 func (c closeSpy) Close() error {
@@ -156,23 +162,24 @@
 }
 
 // A vanished machine takes the request and says nothing: the attempt must end by itself, its connection with it, and
-// before its end is told: a further attempt would be a second copy while the connection is open.
+// before its end is told: a further attempt would be a second copy while the connection is open. What the kernel holds of the
+// request goes with it.
 func TestSilentWorkerTimesOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newStore(t, 0)
 		s.News(upAt("127.0.0.1:1"))
 		near, far := net.Pipe()
 		go io.Copy(io.Discard, far)
-		early := false
-		spy := closeSpy{near, func() { early = early || s.Counters.Outcomes[rules.TimedOut].Load() == 0 }}
+		early, linger := false, -1
+		spy := closeSpy{near, func() { early = early || s.Counters.Outcomes[rules.TimedOut].Load() == 0 }, &linger}
 		x := piped(s, func(context.Context, string) (net.Conn, error) { return spy, nil })
 		_, a := attemptOf(t, s, "quick", 60*time.Millisecond)
 		x.attempt(a, &call{method: "POST", target: "/search", id: "id-1"})
 		if s.Counters.Outcomes[rules.TimedOut].Load() != 1 {
 			t.Fatal(s.Counters.Fields())
 		}
-		if open, _ := x.Pool.Open(); open != 0 || !early {
-			t.Fatalf("%d connections stayed open; closed before the end was told: %v", open, early)
+		if open, _ := x.Pool.Open(); open != 0 || !early || linger != 0 {
+			t.Fatalf("%d connections stayed open; closed before the end was told: %v; what is written lingers for %d s", open, early, linger)
 		}
 	})
 }
