Take machines by host, whatever their runners are called while staff have them

Need: a machine is all runners at a host, or a named set. With names alone a runner that starts at a machine in pieces under another name got jobs at once.

Change: a plan's machine may have `host` in place of `runners`. Members bind sends by the host of the address, looked at with each change of the list; what runs is reported by host too, also for runners that have moved away since. The settled state knows the names for budget and return alone. A member of a build that knows no hosts keeps such a plan from starting, by name.

--- a/cmd/birchfork/outage.go
+++ b/cmd/birchfork/outage.go
@@ -155,6 +155,7 @@
 	Machines []struct {
 		Name    string   `toml:"name"`
 		Runners []string `toml:"runners"`
+		Host    string   `toml:"host"`
 	} `toml:"machine"`
 }
 
@@ -174,7 +175,7 @@
 		Back: f.Back, Overdue: f.Overdue,
 	}
 	for _, m := range f.Machines {
-		p.Machines = append(p.Machines, outage.Machine{Name: m.Name, Runners: m.Runners})
+		p.Machines = append(p.Machines, outage.Machine{Name: m.Name, Runners: m.Runners, Host: m.Host})
 	}
 	return p, d, byLine(d, outage.New().Faults(p))
 }
--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -47,7 +47,7 @@
 	AttemptsMost(time.Duration)
 	Lease(until time.Time)
 	Blind(bool)
-	Busy() []string
+	Busy() (names, hosts []string)
 	Fleet(gone, cold time.Duration) []store.Seen
 }
 
@@ -107,6 +107,7 @@
 	Bound time.Duration `json:"bound"`
 	Warm  time.Duration `json:"warm"`
 	Plans bool          `json:"plans"`
+	Hosts bool          `json:"hosts"` // its build knows machines that are hosts
 	Down  []string      `json:"down,omitempty"`
 	Cold  []string      `json:"cold,omitempty"`
 	Hand  []string      `json:"hand,omitempty"`
@@ -528,6 +529,12 @@
 	<-c.done
 }
 
+// guardOf is what a state binds a dispatcher to.
+func guardOf(s *outage.State) store.Guard {
+	away, leased := s.Away(), s.Leased()
+	return store.Guard{Away: away.Runners, AwayAt: away.Hosts, Leased: leased.Runners, LeasedAt: leased.Hosts}
+}
+
 // Apply puts a settled entry in force; agree calls it.
 func (c *Council) Apply(index uint64, data []byte) {
 	c.mu.Lock()
@@ -536,7 +543,7 @@
 	if c.state.Seq != was {
 		c.at = time.Now()
 	}
-	guard := store.Guard{Away: c.state.Away(), Leased: c.state.Leased()}
+	guard := guardOf(c.state)
 	c.mu.Unlock()
 	if len(events) > 0 && !c.forgets() {
 		c.o.Dispatcher.Guard(guard)
@@ -576,7 +583,7 @@
 	}
 	c.mu.Lock()
 	c.state, c.at = s, time.Now()
-	guard := store.Guard{Away: s.Away(), Leased: s.Leased()}
+	guard := guardOf(s)
 	c.mu.Unlock()
 	if !c.forgets() {
 		c.o.Dispatcher.Guard(guard)
--- a/internal/council/council_test.go
+++ b/internal/council/council_test.go
@@ -43,13 +43,13 @@
 func (h *hand) Blind(b bool)                 { h.mu.Lock(); h.blind = append(h.blind, b); h.mu.Unlock() }
 func (h *hand) AttemptsMost(d time.Duration) { h.mu.Lock(); h.most = d; h.mu.Unlock() }
 
-func (h *hand) Busy() []string { return nil }
+func (h *hand) Busy() (names, hosts []string) { return nil, nil }
 
 func (h *hand) Fleet(_, _ time.Duration) (all []store.Seen) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for i := range 3 {
-		all = append(all, store.Seen{Name: fmt.Sprint("r", i), Zone: "z", Kind: "k", Weight: 1, Hand: h.hand && i == 0})
+		all = append(all, store.Seen{Name: fmt.Sprint("r", i), Host: fmt.Sprint("h", i), Zone: "z", Kind: "k", Weight: 1, Hand: h.hand && i == 0})
 	}
 	return all
 }
@@ -205,8 +205,13 @@
 	r.hands[2].set(func() { r.hands[2].hand = true })
 	r.hands[1].set(func() { r.hands[1].alive = 1 })
 	unfit := *thePlan
-	unfit.Machines = []outage.Machine{{Name: "m", Runners: []string{"nobody"}}}
-	r.call(1, outage.Wrong, Call{Command: &outage.Command{Kind: outage.HandIn, Plan: &unfit}})
+	unfit.Machines = []outage.Machine{{Name: "m", Runners: []string{"nobody", "r1"}}, {Name: "h", Host: "h1"}, {Name: "k", Host: "nowhere"}}
+	told := r.call(1, outage.Wrong, Call{Command: &outage.Command{Kind: outage.HandIn, Plan: &unfit}})
+	for _, want := range []string{`machine[0].runners: "nobody"`, `"r1" is at the host of machine[1]`, `machine[2].host: no runner is listed at "nowhere"`} {
+		if !strings.Contains(told.Text, want) {
+			t.Errorf("%q is not in %q", want, told.Text)
+		}
+	}
 	r.call(1, outage.Yes, Call{Command: &outage.Command{Kind: outage.HandIn, Plan: thePlan}, Check: true})
 	r.call(1, outage.Yes, Call{Command: &outage.Command{Kind: outage.HandIn, Plan: thePlan}})
 	r.call(2, outage.Yes, Call{Command: &outage.Command{Kind: outage.Start, Name: "p"}})
--- a/internal/council/member.go
+++ b/internal/council/member.go
@@ -224,7 +224,7 @@
 		}
 		every := idleEvery
 		c.mu.Lock()
-		if err != nil || len(c.state.Leased()) > 0 || slices.ContainsFunc(c.state.Plans, func(u *outage.Under) bool { return u.Phase != outage.Ended }) {
+		if err != nil || slices.ContainsFunc(c.state.Plans, func(u *outage.Under) bool { return u.Phase != outage.Ended }) {
 			every = c.o.Group.Lease / renewPart
 		}
 		changed := c.changed
@@ -302,7 +302,7 @@
 	a := c.agreement()
 	c.mu.Lock()
 	v := c.voice
-	r := report{Name: c.o.Self, Bound: c.bound(), Warm: c.warm, Plans: c.o.Group.Plans}
+	r := report{Name: c.o.Self, Bound: c.bound(), Warm: c.warm, Plans: c.o.Group.Plans, Hosts: true}
 	attempt := c.attempt
 	c.mu.Unlock()
 	if a == nil || v == nil {
@@ -312,7 +312,7 @@
 	r.Life, r.Applied = v.who.Life, a.Status().Applied
 	// A process of ours that ended may have left attempts behind; one that lives may send by what it knew.
 	r.Alone = alive == 0 && time.Since(v.began) > attempt
-	r.Busy = c.o.Dispatcher.Busy()
+	r.Busy, r.BusyAt = c.o.Dispatcher.Busy()
 	for _, w := range c.o.Dispatcher.Fleet(goneCounts, r.Warm) {
 		if w.Down {
 			r.Down = append(r.Down, w.Name)
@@ -395,7 +395,8 @@
 		Words: map[string]outage.Word{}, Fleet: map[string]outage.Runner{},
 	}
 	for _, w := range c.o.Dispatcher.Fleet(goneCounts, c.warm) {
-		adv.Fleet[w.Name] = outage.Runner{Zone: w.Zone, Kind: w.Kind, Weight: w.Weight, Down: w.Down, Cold: w.Cold, Hand: w.Hand}
+		adv.Fleet[w.Name] = outage.Runner{Zone: w.Zone, Kind: w.Kind, Host: w.Host, Weight: w.Weight, Down: w.Down, Gone: w.Gone, Cold: w.Cold,
+			Hand: w.Hand}
 	}
 	mark := func(names []string, f func(*outage.Runner)) {
 		for _, name := range names {
--- a/internal/council/staff.go
+++ b/internal/council/staff.go
@@ -175,7 +175,7 @@
 			return &Reply{Text: "good"}
 		}
 	case outage.Start:
-		if text := c.absent(); text != "" {
+		if text := c.absent(cmd.Name); text != "" {
 			return &Reply{Code: outage.NotNow, Text: text}
 		}
 	case outage.Take:
@@ -190,10 +190,24 @@
 // unfit is what of a plan does not fit the fleet as it is, by key. The lock is held.
 func (c *Council) unfit(p *outage.Plan) (out []string) {
 	fleet := c.advance().Fleet
+	at := map[string]int{} // hosts that are machines
+	for i, m := range p.Machines {
+		if m.Host == "" {
+			continue
+		}
+		at[m.Host] = i
+		there := func(name string) bool { return fleet[name].Host == m.Host && !fleet[name].Gone }
+		if !slices.ContainsFunc(slices.Collect(maps.Keys(fleet)), there) {
+			out = append(out, fmt.Sprintf("machine[%d].host: no runner is listed at %q; hosts are as in the list's addresses", i, m.Host))
+		}
+	}
 	for i, m := range p.Machines {
 		for _, r := range m.Runners {
-			if _, ok := fleet[r]; !ok {
+			w, ok := fleet[r]
+			if !ok {
 				out = append(out, fmt.Sprintf("machine[%d].runners: %q is not on the list", i, r))
+			} else if j, both := at[w.Host]; both {
+				out = append(out, fmt.Sprintf("machine[%d].runners: %q is at the host of machine[%d]", i, r, j))
 			}
 		}
 	}
@@ -202,8 +216,12 @@
 
 // absent says why no plan may start: each member by our file has to be in, and in use of plans, as one that knows of no group
 // sends where it likes. The lock is held.
-func (c *Council) absent() string {
-	var out, silent, without []string
+func (c *Council) absent(plan string) string {
+	byHost := false
+	if u := c.state.Plan(plan); u != nil {
+		byHost = slices.ContainsFunc(u.Machines, func(m outage.Machine) bool { return m.Host != "" })
+	}
+	var out, silent, without, older []string
 	for _, p := range c.o.Group.Peers {
 		if c.state.Members[p.Name] == nil {
 			out = append(out, p.Name)
@@ -211,6 +229,8 @@
 			silent = append(silent, p.Name)
 		} else if !h.Plans {
 			without = append(without, p.Name)
+		} else if byHost && !h.Hosts {
+			older = append(older, p.Name)
 		}
 	}
 	switch {
@@ -218,6 +238,8 @@
 		return "not in the group yet: " + strings.Join(out, ", ")
 	case len(silent) > 0:
 		return "not heard of yet by this leader: " + strings.Join(silent, ", ")
+	case len(older) > 0:
+		return "of a build that knows no machines by host: " + strings.Join(older, ", ")
 	case len(without) > 0 || !c.o.Group.Plans:
 		return "without plans = true in [group]: " + strings.Join(without, ", ")
 	}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -32,6 +32,7 @@
 	at     func(dispatcher int, address string) string
 
 	mu      sync.Mutex
+	renamed map[int]string
 	stopped bool
 	waits   sync.WaitGroup
 	quit    chan struct{}
@@ -51,7 +52,7 @@
 			return r.Float64()
 		},
 	}
-	f := &Fleet{day: day, ledger: l, at: at, quit: make(chan struct{})}
+	f := &Fleet{day: day, ledger: l, at: at, renamed: map[int]string{}, quit: make(chan struct{})}
 	cfg.Fell = func(i int) { f.after(0, func() { f.publish(i, StatusRemoved, false, false) }) }
 	for i, w := range day.Workers {
 		f.Workers = append(f.Workers, NewWorker(cfg, w.Name, i, SpecOf(w, t)))
@@ -93,7 +94,7 @@
 			address = f.at(dispatcher, address)
 		}
 		return Endpoint{
-			Name: w.Name, Address: address, Zone: d.Zone, Type: d.Kind, Group: d.Cell, Status: status,
+			Name: f.name(i), Address: address, Zone: d.Zone, Type: d.Kind, Group: d.Cell, Status: status,
 			Weight: float64(d.Cores), SinceMs: since,
 		}
 	}}, atOnce)
@@ -147,6 +148,23 @@
 	f.publish(i, StatusRemoved, false, false)
 }
 
+// Rename has a worker that is down be listed under another name from then on.
+func (f *Fleet) Rename(i int, name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.renamed[i] = name
+}
+
+// name is what a worker is listed as.
+func (f *Fleet) name(i int) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if name, ok := f.renamed[i]; ok {
+		return name
+	}
+	return f.Workers[i].Name
+}
+
 // Up starts a worker again, cold.
 func (f *Fleet) Up(i int) { f.restart(i) }
 
--- a/internal/lab/fleet/worker.go
+++ b/internal/lab/fleet/worker.go
@@ -82,7 +82,7 @@
 	w.timer.Stop()
 	w.links = nil
 	for d := range w.cfg.Dispatchers {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", w.Host()+":0")
 		if err != nil {
 			for _, k := range w.links {
 				k.listener.Close()
@@ -96,6 +96,9 @@
 	return nil
 }
 
+// Host is the worker's own.
+func (w *Worker) Host() string { return fmt.Sprintf("127.1.%d.%d", w.Index/250, 1+w.Index%250) }
+
 // Address is where one dispatcher reaches the worker in its present life.
 func (w *Worker) Address(dispatcher int) string {
 	w.mu.Lock()
--- a/internal/lab/groups/groups.go
+++ b/internal/lab/groups/groups.go
@@ -395,7 +395,11 @@
 	day := g.stage.Day()
 	p := &outage.Plan{Name: "work", Out: g.o.Out, Overdue: outage.Wait}
 	for i := range g.o.Machines {
-		p.Machines = append(p.Machines, outage.Machine{Name: machine(i), Runners: []string{day.Workers[worker(day, i)].Name}})
+		m := outage.Machine{Name: machine(i), Runners: []string{day.Workers[worker(day, i)].Name}}
+		if g.o.Hosts {
+			m.Runners, m.Host = nil, g.stage.Fleet().Workers[worker(day, i)].Host()
+		}
+		p.Machines = append(p.Machines, m)
 	}
 	for _, c := range []*outage.Command{{Kind: outage.HandIn, Plan: p}, {Kind: outage.Start, Name: p.Name}} {
 		if !g.surely(ctx, c) {
@@ -439,7 +443,16 @@
 	w := worker(g.stage.Day(), i)
 	g.works = append(g.works, Work{Machine: machine(i), Runners: []int{w}, Told: l.Now()})
 	g.mu.Unlock()
-	sleep(ctx, g.o.Work) // the runner stands there, so that what is sent is seen
+	// The runner stands there, so that what is sent is seen.
+	if g.o.Renamed {
+		sleep(ctx, g.o.Work/2)
+		g.stage.Fleet().Down(w)
+		g.stage.Fleet().Rename(w, "new-"+machine(i))
+		g.stage.Fleet().Up(w)
+		sleep(ctx, g.o.Work/2)
+	} else {
+		sleep(ctx, g.o.Work)
+	}
 	if ctx.Err() != nil {
 		return
 	}
--- a/internal/lab/groups/link.go
+++ b/internal/lab/groups/link.go
@@ -39,7 +39,11 @@
 const pieceMost = 4 << 10
 
 func newLink(to string) (*link, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	host, _, err := net.SplitHostPort(to)
+	if err != nil {
+		return nil, fmt.Errorf("a link: %w", err)
+	}
+	l, err := net.Listen("tcp", host+":0") // what it leads to is known by its host
 	if err != nil {
 		return nil, fmt.Errorf("a link: %w", err)
 	}
--- a/internal/lab/groups/scenarios.go
+++ b/internal/lab/groups/scenarios.go
@@ -22,6 +22,8 @@
 	Out      int           `toml:"out"`      // machines away at a time
 	Work     time.Duration `toml:"work"`     // that staff have each machine
 	Lease    time.Duration `toml:"lease"`
+	Hosts    bool          `toml:"hosts"`    // machines are named by their host
+	Renamed  bool          `toml:"renamed"`  // while staff have a machine its runner starts there under another name
 	Diskless bool          `toml:"diskless"` // members keep nothing over a restart
 	Storm    int           `toml:"storm"`    // further faults, drawn from the seed
 	Failing  int           `toml:"failing"`  // the member whose disk takes nothing any more after a while; 0: none
@@ -62,6 +64,9 @@
 	if s.Lease < leaseLeast {
 		fault("lease", "%v is less than %v", s.Lease, leaseLeast)
 	}
+	if s.Renamed && !s.Hosts {
+		fault("renamed", "it needs hosts = true: a machine that is known by name has no other")
+	}
 	if s.Work < 0 || s.Storm < 0 {
 		fault("work", "work and storm are not below 0")
 	}
--- a/internal/lab/histories/histories.go
+++ b/internal/lab/histories/histories.go
@@ -477,7 +477,7 @@
 	if m.core == nil {
 		return
 	}
-	leased, away := m.state.Leased(), m.state.Away()
+	leased, away := m.state.Leased().Runners, m.state.Away().Runners
 	for range 2 {
 		name := runner(w.r.IntN(machines))
 		free := m.knows && !leased[name] || m.clock() < m.until
--- a/internal/outage/advance.go
+++ b/internal/outage/advance.go
@@ -36,6 +36,7 @@
 			r.tell(u.Name, "", "%s", Running)
 		}
 		for _, p := range u.Places {
+			r.populate(u, p, a)
 			r.place(u, p, a)
 		}
 		r.close(u)
@@ -52,6 +53,32 @@
 	}
 }
 
+// populate has the runners of a machine that is a host: those that are there. While it is away further ones are added, as
+// what was there may still run something; once it is put back those count that have come, whatever they are called now.
+func (r *run) populate(u *Under, p *Place, a *Advance) {
+	if p.Host == "" || p.Step.over() {
+		return
+	}
+	var now []string
+	for _, name := range slices.Sorted(maps.Keys(a.Fleet)) {
+		if w := a.Fleet[name]; w.Host == p.Host && !w.Gone {
+			now = append(now, name)
+		}
+	}
+	if p.Step.away() {
+		now = append(now, p.Runners...)
+		slices.Sort(now)
+		now = slices.Compact(now)
+	} else if len(now) == 0 && p.Step != Waiting {
+		return
+	}
+	if slices.Equal(now, p.Runners) {
+		return
+	}
+	p.Runners = now
+	r.tell(u.Name, p.Name, "its runners are %s", strings.Join(now, ", "))
+}
+
 // Would tells whether an entry would settle anything.
 func (s *State) Would(a *Advance) bool {
 	if a.Bound <= s.Bound && !slices.ContainsFunc(s.Plans, func(u *Under) bool { return u.Phase.open() }) {
@@ -84,7 +111,9 @@
 	}
 	for _, name := range s.Names() {
 		w := a.Words[name]
-		if slices.ContainsFunc(p.Runners, func(r string) bool { return slices.Contains(w.Busy, r) }) && !slices.Contains(out, name) {
+		busy := slices.ContainsFunc(p.Runners, func(r string) bool { return slices.Contains(w.Busy, r) })
+		busy = busy || p.Host != "" && slices.Contains(w.BusyAt, p.Host)
+		if busy && !slices.Contains(out, name) {
 			out = append(out, name)
 		}
 	}
@@ -182,7 +211,13 @@
 func (s *State) units(a *Advance) map[string]*unit {
 	out := map[string]*unit{}
 	of := map[string]*unit{}
+	back := map[string]*Place{} // machines that are hosts and were put back
 	for _, u := range s.Plans {
+		for _, p := range u.Places {
+			if p.Host != "" && p.Step != Waiting && !p.Step.away() {
+				back[p.Host] = p
+			}
+		}
 		if u.Phase == Ended {
 			continue
 		}
@@ -199,6 +234,10 @@
 		}
 	}
 	for name, r := range a.Fleet {
+		// Guards against a name that went for good while its machine was with staff: what is there now has another.
+		if p := back[r.Host]; p != nil && r.Gone && !slices.Contains(p.Runners, name) {
+			continue
+		}
 		n := of[name]
 		if n == nil {
 			n = &unit{runners: []string{name}}
--- a/internal/outage/calls.go
+++ b/internal/outage/calls.go
@@ -115,14 +115,27 @@
 	if len(p.Machines) == 0 || len(p.Machines) > MachineMost {
 		fault("machine: there are %d; from 1 to %d", len(p.Machines), MachineMost)
 	}
-	names, runners := map[string]int{}, map[string]int{}
+	names, runners, hosts := map[string]int{}, map[string]int{}, map[string]int{}
 	for i, m := range p.Machines {
 		if at, twice := names[m.Name]; twice || m.Name == "" {
 			fault("machine[%d].name: %q is empty or that of machine[%d]", i, m.Name, at)
 		}
 		names[m.Name] = i
-		if len(m.Runners) == 0 {
-			fault("machine[%d].runners: there is none", i)
+		switch at, twice := hosts[m.Host]; {
+		case m.Host == "" && len(m.Runners) == 0:
+			fault("machine[%d].runners: there is none, and no host", i)
+		case m.Host == "":
+		case len(m.Runners) > 0:
+			fault("machine[%d].host: it names runners too; one of both", i)
+		case twice:
+			fault("machine[%d].host: %q is that of machine[%d] already", i, m.Host, at)
+		default:
+			hosts[m.Host] = i
+			for _, u := range s.Plans {
+				if u.Phase != Ended && slices.ContainsFunc(u.Places, func(p *Place) bool { return !p.Step.over() && p.Host == m.Host }) {
+					fault("machine[%d].host: %q is in plan %q, which is %s", i, m.Host, u.Name, u.Phase)
+				}
+			}
 		}
 		for _, w := range m.Runners {
 			if at, twice := runners[w]; twice {
--- a/internal/outage/outage.go
+++ b/internal/outage/outage.go
@@ -72,10 +72,11 @@
 	Overdue  string        `json:"overdue"`  // what happens then
 }
 
-// Machine is a set of runners that are worked on together.
+// Machine is a set of runners that are worked on together: named ones, or all at a host, whatever they are called then.
 type Machine struct {
 	Name    string   `json:"name"`
 	Runners []string `json:"runners"`
+	Host    string   `json:"host,omitempty"`
 }
 
 // Member is a dispatcher of the group.
@@ -140,17 +141,20 @@
 // Word is what a member has told of itself last.
 type Word struct {
 	Life    string   `json:"life"`
-	Applied uint64   `json:"applied"`        // the entries up to this index are in force at it
-	Alone   bool     `json:"alone"`          // no other process of this dispatcher lives, and none left work behind
-	Busy    []string `json:"busy,omitempty"` // runners where something of its own runs or may run
+	Applied uint64   `json:"applied"`           // the entries up to this index are in force at it
+	Alone   bool     `json:"alone"`             // no other process of this dispatcher lives, and none left work behind
+	Busy    []string `json:"busy,omitempty"`    // runners where something of its own runs or may run
+	BusyAt  []string `json:"busy_at,omitempty"` // ... and their hosts
 }
 
 // Runner is what members know of a runner.
 type Runner struct {
 	Zone   string  `json:"zone"`
 	Kind   string  `json:"kind"`
+	Host   string  `json:"host,omitempty"`
 	Weight float64 `json:"weight"`
 	Down   bool    `json:"down,omitempty"` // gone, or draining
+	Gone   bool    `json:"gone,omitempty"`
 	Cold   bool    `json:"cold,omitempty"`
 	Hand   bool    `json:"hand,omitempty"` // left out by hand at some dispatcher
 }
@@ -276,23 +280,30 @@
 	return s.Answers[i], true
 }
 
-// Away are the runners to which nothing may be sent.
-func (s *State) Away() map[string]bool {
+// Bound are runners, and hosts whose runners are meant all together.
+type Bound struct{ Runners, Hosts map[string]bool }
+
+// Away are those to which nothing may be sent.
+func (s *State) Away() Bound {
 	return s.runners(func(_ *Under, p *Place) bool { return p.Step.away() })
 }
 
-// Leased are the runners to which members may send only under the lease: all of plans that are not through with them.
-func (s *State) Leased() map[string]bool {
+// Leased are those to which members may send only under the lease: all of plans that are not through with them.
+func (s *State) Leased() Bound {
 	return s.runners(func(u *Under, p *Place) bool { return u.Phase.open() && !p.Step.over() })
 }
 
-func (s *State) runners(picked func(*Under, *Place) bool) map[string]bool {
-	out := map[string]bool{}
+func (s *State) runners(picked func(*Under, *Place) bool) Bound {
+	out := Bound{map[string]bool{}, map[string]bool{}}
 	for _, u := range s.Plans {
 		for _, p := range u.Places {
-			if picked(u, p) {
+			switch {
+			case !picked(u, p):
+			case p.Host != "":
+				out.Hosts[p.Host] = true
+			default:
 				for _, r := range p.Runners {
-					out[r] = true
+					out.Runners[r] = true
 				}
 			}
 		}
--- a/internal/outage/outage_test.go
+++ b/internal/outage/outage_test.go
@@ -34,7 +34,7 @@
 	}
 	if p.Machines == nil {
 		for i := range 6 {
-			p.Machines = append(p.Machines, Machine{fmt.Sprint("m", i), []string{fmt.Sprint("r", i)}})
+			p.Machines = append(p.Machines, named(fmt.Sprint("m", i), fmt.Sprint("r", i)))
 		}
 	}
 	if p.Overdue == "" {
@@ -45,6 +45,8 @@
 	return d
 }
 
+func named(name string, runners ...string) Machine { return Machine{Name: name, Runners: runners} }
+
 func (d *desk) do(c Command) []Event {
 	raw, err := json.Marshal(c)
 	if err != nil {
@@ -112,7 +114,7 @@
 	d.steps("") // it has not begun: c does not have it in force
 	d.tick(sec)
 	d.steps("m0 leaving") // the least weight
-	if !d.s.Away()["r0"] || d.s.Away()["r1"] || !d.s.Leased()["r5"] {
+	if away := d.s.Away().Runners; !away["r0"] || away["r1"] || !d.s.Leased().Runners["r5"] {
 		t.Errorf("away %v, leased %v", d.s.Away(), d.s.Leased())
 	}
 	d.call(NotNow, Command{Kind: Take, Machine: "m0"})
@@ -193,7 +195,7 @@
 				d.runner(r, func(r *Runner) { r.Down = true })
 			}
 		}, "m1 leaving"},
-		"the other zone's turn": {Plan{Out: 2, Machines: []Machine{{"m0", []string{"r0"}}, {"m2", []string{"r2"}}, {"m1", []string{"r1"}}}}, func(d *desk) {
+		"the other zone's turn": {Plan{Out: 2, Machines: []Machine{named("m0", "r0"), named("m2", "r2"), named("m1", "r1")}}, func(d *desk) {
 			for i := range 3 {
 				d.runner(fmt.Sprint("r", i), func(r *Runner) { r.Weight = 1 })
 			}
@@ -264,14 +266,14 @@
 
 // Two plans share the budget: what one has taken counts against the other.
 func TestTwoPlans(t *testing.T) {
-	d := newDesk(t, Plan{Machines: []Machine{{"m0", []string{"r0"}}}})
-	d.call(Yes, Command{Kind: HandIn, Plan: &Plan{Name: "q", Out: 1, Overdue: Wait, Machines: []Machine{{"n1", []string{"r1"}}}}})
+	d := newDesk(t, Plan{Machines: []Machine{named("m0", "r0")}})
+	d.call(Yes, Command{Kind: HandIn, Plan: &Plan{Name: "q", Out: 1, Overdue: Wait, Machines: []Machine{named("n1", "r1")}}})
 	d.call(Yes, Command{Kind: Start, Name: "q"})
 	d.start()
 	d.tick(sec)
 	_, n1 := d.s.Find("q", "n1")
 	_, m0 := d.s.Find("p", "m0")
-	if away := len(d.s.Away()); away != 1 {
+	if away := len(d.s.Away().Runners); away != 1 {
 		t.Errorf("%d runners away: %s, %s", away, m0.Step, n1.Step)
 	}
 	d.call(Yes, Command{Kind: Abort, Name: "p"})
@@ -317,15 +319,61 @@
 	d.s.Apply(d.index+1, []byte("{"))
 }
 
+// A machine that is a host: whoever is listed there belongs to it, under whatever name and from whenever on.
+func TestAHost(t *testing.T) {
+	d := newDesk(t, Plan{Machines: []Machine{{Name: "h", Host: "h0"}}})
+	for _, name := range []string{"r0", "r1"} {
+		d.runner(name, func(r *Runner) { r.Host = "h0" })
+	}
+	d.start()
+	d.steps("h leaving")
+	is := func(what string) {
+		t.Helper()
+		if got := strings.Join(d.s.Plans[0].Places[0].Runners, " "); got != what {
+			t.Errorf("its runners are %q, want %q", got, what)
+		}
+	}
+	is("r0 r1")
+	if away := d.s.Away(); !away.Hosts["h0"] || len(away.Runners) > 0 {
+		t.Errorf("away are %+v", away)
+	}
+	d.runner("r0", func(r *Runner) { r.Gone, r.Down = true, true })
+	d.runner("new", func(r *Runner) { *r = Runner{Host: "h0", Zone: "z0", Kind: "k0", Weight: 1, Cold: true} })
+	d.adv.Words["b"] = Word{Life: "1", Alone: true, BusyAt: []string{"h0"}} // at a runner that the leader has not heard of
+	d.tick(sec)
+	d.steps("h leaving")
+	is("new r0 r1")
+	d.adv.Words["b"] = Word{Life: "1", Alone: true}
+	d.tick(sec)
+	d.call(Yes, Command{Kind: Take, Machine: "h"})
+	d.call(Yes, Command{Kind: Return, Machine: "h"})
+	d.tick(9 * sec)
+	is("new r1")
+	d.steps("h returning")
+	d.runner("new", func(r *Runner) { r.Cold = false })
+	d.tick(sec)
+	d.tick(sec)
+	d.steps("h done")
+	// The name that is gone for good does not count as away by itself; one that goes later does.
+	if n := d.s.units(&d.adv); n["runner r0"] != nil || n["runner new"].away {
+		t.Errorf("units: %+v", n)
+	}
+	d.runner("new", func(r *Runner) { r.Gone, r.Down = true, true })
+	if n := d.s.units(&d.adv); !n["runner new"].away {
+		t.Error("one that has gone since does not count")
+	}
+}
+
 func TestFaultsOfAPlan(t *testing.T) {
 	d := newDesk(t, Plan{})
 	faults := strings.Join(d.s.Faults(&Plan{
 		Name: "p", Out: -1, ZoneOut: -1, KindOut: -1, Leave: -sec, Capacity: 2, Overdue: "never",
-		Machines: []Machine{{"x", []string{"r0", "r9"}}, {"x", []string{"r9"}}, {"", nil}},
+		Machines: []Machine{named("x", "r0", "r9"), named("x", "r9"), {}, {Name: "h", Host: "h"}, {Name: "i", Host: "h"}, {Name: "j", Host: "j", Runners: []string{"r8"}}},
 	}), "\n")
 	for _, want := range []string{
 		`name: a plan "p" is handed in`, "out: -1", "zone_out: -1", "kind_out: -1", "leave: -1s", "capacity: 2", `overdue: "never"`, `machine[0].runners: "r0" is in plan "p"`,
 		`machine[1].name: "x"`, `machine[1].runners: "r9" is in machine[0]`, "machine[2].name", "machine[2].runners: there is none",
+		`machine[4].host: "h" is that of machine[3]`, "machine[5].host: it names runners too",
 	} {
 		if !strings.Contains(faults, want) {
 			t.Errorf("%q is not in:\n%s", want, faults)
--- a/internal/store/guard.go
+++ b/internal/store/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net"
 	"slices"
 	"time"
 
@@ -9,10 +10,11 @@
 	"birchfork/rules"
 )
 
-// Guard is what a group of dispatchers has settled on workers, by name, as far as it binds this one. It takes away only.
+// Guard is what a group of dispatchers has settled on workers, by name or by host, as far as it binds this one. It takes away
+// only.
 type Guard struct {
-	Away   map[string]bool // taken out for work: nothing goes there
-	Leased map[string]bool // of plans under way: sent to only while the lease runs
+	Away, AwayAt     map[string]bool // taken out for work: nothing goes there
+	Leased, LeasedAt map[string]bool // of plans under way: sent to only while the lease runs
 }
 
 // runSlack is how much later than its deadline a job may end at a worker that has been told the time left when the last
@@ -24,19 +26,23 @@
 func (s *Store) Guard(g Guard) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.guard = g
+	s.bind()
+}
+
+// bind puts the guard in force for the workers as they are listed now: at a host that is taken out one may be listed under
+// another name. The lock is held.
+func (s *Store) bind() {
 	for _, id := range s.leased {
 		s.workers[id].leased = false
 	}
-	s.leased = s.leased[:0]
-	for _, name := range slices.Sorted(maps.Keys(g.Leased)) {
-		id := s.names.Worker(name)
-		s.viewOf(id).leased = true
-		s.leased = append(s.leased, id)
+	s.leased = s.pick(s.guard.Leased, s.guard.LeasedAt)
+	for _, id := range s.leased {
+		s.workers[id].leased = true
 	}
-	var away []rules.WorkerID
-	for _, name := range slices.Sorted(maps.Keys(g.Away)) {
-		id := s.names.Worker(name)
-		if away = append(away, id); s.viewOf(id).out&byPlan == 0 {
+	away := s.pick(s.guard.Away, s.guard.AwayAt)
+	for _, id := range away {
+		if s.workers[id].out&byPlan == 0 {
 			s.leaveOut(id, byPlan)
 		}
 	}
@@ -49,6 +55,27 @@
 	s.bar()
 }
 
+// pick are the workers of these names and at these hosts. The lock is held.
+func (s *Store) pick(names, hosts map[string]bool) (ids []rules.WorkerID) {
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		id := s.names.Worker(name)
+		s.viewOf(id)
+		ids = append(ids, id)
+	}
+	for i := range s.workers {
+		if w := &s.workers[i].entry; hosts[hostOf(w.Address)] && !names[w.Name] {
+			ids = append(ids, rules.WorkerID(i))
+		}
+	}
+	return ids
+}
+
+// hostOf is the host of an address; empty where it has none.
+func hostOf(address string) string {
+	host, _, _ := net.SplitHostPort(address)
+	return host
+}
+
 // AttemptsMost bounds attempts that are ordered from now on, whatever time their clients give: a group that waits for a silent
 // member has to know for how long something of that may run. 0 sets no bound.
 func (s *Store) AttemptsMost(d time.Duration) {
@@ -117,29 +144,41 @@
 	}
 }
 
-// Busy are the names of those workers under the lease, or away, where something of ours runs or may run, sorted.
-func (s *Store) Busy() (names []string) {
+// Busy are the names of those workers under the lease, or away, where something of ours runs or may run, and their hosts,
+// sorted.
+func (s *Store) Busy() (names, hosts []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	if plant.On(plant.IgnoresBusy) {
-		return nil
+		return nil, nil
 	}
 	for id := range s.workers {
 		w := &s.workers[id]
-		if (w.leased || w.out&byPlan != 0) && (w.flying > 0 || now.Before(w.mayRun)) {
-			names = append(names, s.names.WorkerName(rules.WorkerID(id)))
+		if w.flying == 0 && !now.Before(w.mayRun) {
+			continue
+		}
+		hosts = append(hosts, w.moved...) // what runs may run where it was
+		if !w.leased && w.out&byPlan == 0 {
+			continue
+		}
+		names = append(names, s.names.WorkerName(rules.WorkerID(id)))
+		if host := hostOf(w.entry.Address); host != "" {
+			hosts = append(hosts, host)
 		}
 	}
 	slices.Sort(names)
-	return names
+	slices.Sort(hosts)
+	return names, slices.Compact(hosts)
 }
 
 // Seen is what this dispatcher knows of a worker.
 type Seen struct {
 	Name, Zone, Kind string
+	Host             string
 	Weight           float64
 	Down             bool // draining, or gone for no longer than was asked
+	Gone             bool
 	Cold             bool // started, or put back, for no longer than was asked
 	Hand             bool // left out by hand
 }
@@ -158,7 +197,8 @@
 		}
 		since := max(w.started, w.back)
 		all = append(all, Seen{
-			Name: e.Name, Zone: e.Zone, Kind: e.Kind, Weight: e.Weight, Down: e.State != rules.Ready,
+			Name: e.Name, Zone: e.Zone, Kind: e.Kind, Host: hostOf(e.Address), Weight: e.Weight, Down: e.State != rules.Ready,
+			Gone: e.State == rules.Gone,
 			Cold: since > 0 && now-since < rules.Time(cold.Microseconds()), Hand: w.out&byHand != 0,
 		})
 	}
--- a/internal/store/guard_test.go
+++ b/internal/store/guard_test.go
@@ -85,6 +85,50 @@
 	}
 }
 
+func busyNames(s *Store) []string {
+	names, _ := s.Busy()
+	return names
+}
+
+// At a host that is taken out nothing goes to a worker of another name either, and what ran at a worker that has moved away
+// counts for the host where it ran.
+func TestAHostIsBound(t *testing.T) {
+	m := &script{on: sends}
+	s := newStore(t, m)
+	entry := func(name, address string) Entry {
+		return Entry{Name: name, Address: address, Zone: "a", Kind: "big", State: rules.Ready}
+	}
+	s.News(List{Index: 1, Whole: true, Entries: []Entry{entry("old", "h0:1")}})
+	s.Guard(Guard{LeasedAt: map[string]bool{"h0": true}})
+	s.Lease(time.Now().Add(time.Hour))
+	a := (<-mustOpen(t, s, "a").Orders()).Attempt
+	if !a.Leased() || !a.Clear() {
+		t.Errorf("leased %t, clear %t", a.Leased(), a.Clear())
+	}
+	s.Guard(Guard{LeasedAt: map[string]bool{"h0": true}, AwayAt: map[string]bool{"h0": true}})
+	s.News(List{Index: 2, Whole: true, Entries: []Entry{entry("old", "h1:1"), entry("new", "h0:1")}})
+	if names, hosts := s.Busy(); fmt.Sprint(names, hosts) != "[] [h0]" {
+		t.Errorf("busy are %v at %v", names, hosts) // old is at a host of no plan now, not so its attempt
+	}
+	s.Guard(Guard{LeasedAt: map[string]bool{"h0": true, "h1": true}, AwayAt: map[string]bool{"h0": true}})
+	if names, hosts := s.Busy(); fmt.Sprint(names, hosts) != "[old] [h0 h1]" {
+		t.Errorf("busy are %v at %v", names, hosts)
+	}
+	out := map[rules.WorkerID]bool{}
+	for _, e := range m.events {
+		switch e.Kind {
+		case rules.TakenOut:
+			out[e.Worker] = true
+		case rules.PutBack:
+			delete(out, e.Worker)
+		}
+	}
+	id, _ := s.names.FindWorker("new")
+	if len(out) != 1 || !out[id] {
+		t.Errorf("the module may not use %v, want %d alone", out, id)
+	}
+}
+
 // What runs, or may run still, at a worker of a plan is told; what is known to be over is not.
 func TestBusy(t *testing.T) {
 	for result, busy := range map[rules.Result]bool{
@@ -96,16 +140,16 @@
 		s.News(listOf(rules.Ready, "a:1", 0))
 		name := listOf(rules.Ready, "a:1", 0).Entries[0].Name
 		a := (<-mustOpen(t, s, "a").Orders()).Attempt
-		if len(s.Busy()) != 0 {
+		if len(busyNames(s)) != 0 {
 			t.Error("a worker of no plan is told of")
 		}
 		s.Guard(Guard{Leased: map[string]bool{name: true}})
-		if len(s.Busy()) != 1 {
+		if len(busyNames(s)) != 1 {
 			t.Error("an attempt that is out is not told of")
 		}
 		a.Ended(result, nil)
-		if (len(s.Busy()) == 1) != busy {
-			t.Errorf("%v: busy %v", result, s.Busy())
+		if (len(busyNames(s)) == 1) != busy {
+			t.Errorf("%v: busy %v", result, busyNames(s))
 		}
 	}
 }
--- a/internal/store/list.go
+++ b/internal/store/list.go
@@ -37,6 +37,7 @@
 	leased  bool       // of a plan under way: sent to only under the group's lease
 	flying  int        // attempts that have not ended
 	mayRun  time.Time  // until then one may run there that we know nothing of any more
+	moved   []string   // hosts that it was at when something of ours ran there
 }
 
 // ready says whether something may be sent there, by the list alone.
@@ -143,6 +144,9 @@
 			}
 		}
 	}
+	if len(s.guard.AwayAt)+len(s.guard.LeasedAt) > 0 {
+		s.bind()
+	}
 	s.bar() // before the module hears of a worker that it may not use yet
 	s.handle(s.now(), &e)
 }
@@ -185,6 +189,13 @@
 	if n.State == rules.Gone && old.State != rules.Gone {
 		w.left = s.now()
 	}
+	if host := hostOf(old.Address); host != hostOf(n.Address) {
+		if w.flying > 0 || time.Now().Before(w.mayRun) {
+			w.moved = append(w.moved, host)
+		} else {
+			w.moved = nil
+		}
+	}
 	w.entry = *n
 	return w.started
 }
