Replicate staff's words on runners between the members of a group

The thinnest whole of "The state that matters" (docs/replica-design.md): a word that staff say to one dispatcher binds there at once, is synced to its disk before they hear yes, and reaches the others without a leader or a majority. Of two words that did not see each other "out" counts; a member that was away, came back with no disk, an old one or another's takes what it lacks and lets go of what was forgotten. Other processes of the same dispatcher hear by the folder that they share, as before.

internal/spread carries a copy (internal/replica) on the group's links and keeps it in words.db; council lends it the links. The operators' door tells beside "yes" where a word is not kept over a restart, and `/-/ready` waits up to 2 s for the others' words. `lab group` has words in its scenarios and a rule "words": what was answered yes binds at its dispatcher from then on, at all within 4 s of the last fault, and all are one at the end.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -35,9 +35,9 @@
 
 // Service is what stands behind the door. Its functions may be called at any time, several at once, and are to be quick.
 type Service struct {
-	Ready func() error // nil: this process can serve
-	Out   func(id string) error
-	Back  func(id string) error
+	Ready func() error                             // nil: this process can serve
+	Out   func(id string) (note string, err error) // the note is told beside yes
+	Back  func(id string) (note string, err error)
 }
 
 // Door answers operators until Close. It is the one owner of its listener and connections.
@@ -74,7 +74,7 @@
 // call is what a path asks for.
 type call struct {
 	method string
-	do     func() error
+	do     func() (note string, err error)
 }
 
 func handler(s Service) http.Handler {
@@ -105,7 +105,9 @@
 	case r.Method != c.method:
 		return http.StatusMethodNotAllowed, "this path takes " + c.method, c.method
 	}
-	switch err := c.do(); {
+	switch note, err := c.do(); {
+	case err == nil && note != "":
+		return http.StatusOK, "yes; " + strings.ReplaceAll(note, "\n", " "), ""
 	case err == nil:
 		return http.StatusOK, "yes", ""
 	case errors.Is(err, ErrUnknown):
@@ -119,11 +121,11 @@
 func find(s Service, path string) (c call, status int, text string) {
 	const unknown = "no such path; there are /-/ready, /-/runners/ID/disable and /-/runners/ID/enable"
 	if path == "/-/ready" {
-		return call{http.MethodGet, s.Ready}, 0, ""
+		return call{http.MethodGet, func() (string, error) { return "", s.Ready() }}, 0, ""
 	}
 	rest, ok := strings.CutPrefix(path, "/-/runners/")
 	raw, verb, two := strings.Cut(rest, "/")
-	do := map[string]func(string) error{"disable": s.Out, "enable": s.Back}[verb]
+	do := map[string]func(string) (string, error){"disable": s.Out, "enable": s.Back}[verb]
 	if !ok || !two || do == nil {
 		return c, http.StatusNotFound, unknown
 	}
@@ -134,7 +136,7 @@
 	case len(id) > idMost:
 		return c, http.StatusBadRequest, fmt.Sprintf("the runner's id is longer than %d bytes", idMost)
 	}
-	return call{http.MethodPost, func() error { return do(id) }}, 0, ""
+	return call{http.MethodPost, func() (string, error) { return do(id) }}, 0, ""
 }
 
 // listener keeps the number of connections. All are accepted: one that waits in the kernel would hold up those behind it.
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -23,17 +23,19 @@
 	ready error
 }
 
-func (d *desk) note(verb, id string) error {
+func (d *desk) note(verb, id string) (string, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.calls = append(d.calls, verb+" "+id)
 	switch id {
 	case "nobody":
-		return ErrUnknown
+		return "", ErrUnknown
 	case "full":
-		return fmt.Errorf("%w: no space", ErrNotNow)
+		return "", fmt.Errorf("%w: no space", ErrNotNow)
+	case "unkept":
+		return "it is not\nkept", nil
 	}
-	return nil
+	return "", nil
 }
 
 func (d *desk) open(t *testing.T, most int) *Door {
@@ -44,8 +46,8 @@
 	}
 	door := Open(l, most, Service{
 		Ready: func() error { d.mu.Lock(); defer d.mu.Unlock(); return d.ready },
-		Out:   func(id string) error { return d.note("out", id) },
-		Back:  func(id string) error { return d.note("back", id) },
+		Out:   func(id string) (string, error) { return d.note("out", id) },
+		Back:  func(id string) (string, error) { return d.note("back", id) },
 	}, log.New(io.Discard, "", 0))
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -61,9 +61,16 @@
 	Deadline   time.Duration                  // the longest of a class: no attempt runs for longer
 	Arrive     time.Duration                  // from an attempt's order until its last byte has come, or never comes
 	Warm       time.Duration                  // until a started runner is warm
+	Guest      Guest                          // has our links too; nil: nobody
 	Log        logrus.FieldLogger
 }
 
+// Guest has the links of this process's place in the group beside us.
+type Guest interface {
+	Enter(*group.Links) // they are open and serve soon
+	Leave()             // they close
+}
+
 // Council is one member's part, until Close.
 type Council struct {
 	o       Options
@@ -205,6 +212,9 @@
 		Group: c.o.Group.Name, Self: c.o.Self, Peers: c.o.Group.Peers, Who: c.who, Old: c.old, Lost: c.lost, Log: c.o.Log,
 	})
 	c.handle(v.links)
+	if c.o.Guest != nil {
+		c.o.Guest.Enter(v.links)
+	}
 	c.mu.Lock()
 	c.voice = v
 	c.mu.Unlock()
@@ -243,6 +253,9 @@
 		c.handOver()
 	}
 	quit()
+	if c.o.Guest != nil {
+		c.o.Guest.Leave()
+	}
 	v.links.Close()
 	loops.Wait()
 	c.mu.Lock()
--- a/internal/lab/groups/groups.go
+++ b/internal/lab/groups/groups.go
@@ -44,6 +44,7 @@
 	Kill   = "kill"   // its process is killed, and started again with its disk
 	Wipe   = "wipe"   // ... with an empty disk
 	Old    = "old"    // it works on, is killed, and started again with the disk that it had at the fault's beginning
+	Alien  = "alien"  // killed, and started again with the words that the next member's disk has
 	Term   = "term"   // its process ends in order and is started again
 	Renew  = "renew"  // a process starts beside it, and takes its place
 	Halves = "halves" // the group is in two: members of even numbers, and of odd ones
@@ -55,7 +56,7 @@
 )
 
 // Kinds are all kinds of faults that a storm draws.
-var Kinds = []string{Cut, Deaf, Mute, Apart, Flap, Reset, Slow, Narrow, Torn, Stop, Kill, Wipe, Old, Term, Renew, Halves, Thirds, Ring, Far, Unlist, Down}
+var Kinds = []string{Cut, Deaf, Mute, Apart, Flap, Reset, Slow, Narrow, Torn, Stop, Kill, Wipe, Old, Alien, Term, Renew, Halves, Thirds, Ring, Far, Unlist, Down}
 
 // Fault is one fault of the timetable.
 type Fault struct {
@@ -108,6 +109,8 @@
 	works  []Work
 	seen   []seen
 	result *Result
+	spoken []spoken
+	told   map[int]told
 	on     []Fault // of the links
 	downs  []down
 	busy   map[int]bool  // members whose process a fault has
@@ -136,7 +139,7 @@
 	if err := o.Check(); err != nil {
 		return nil, err
 	}
-	g := &rig{o: o, links: map[[2]int]*link{}, result: &Result{}, busy: map[int]bool{}}
+	g := &rig{o: o, links: map[[2]int]*link{}, result: &Result{}, busy: map[int]bool{}, told: map[int]told{}}
 	var err error
 	if g.day, err = day(o.Members, o.For); err != nil {
 		return nil, err
@@ -302,6 +305,7 @@
 	for _, f := range g.result.Faults {
 		all.Go(func() { g.fault(ctx, f) })
 	}
+	g.saySome(ctx, &all)
 	for i := range g.o.Machines {
 		all.Go(func() { g.work(ctx, i) })
 	}
@@ -511,7 +515,7 @@
 	if f.Member < 0 {
 		f.Member = g.leader()
 	}
-	if slices.Contains([]string{Stop, Kill, Wipe, Old, Term, Renew}, f.Kind) {
+	if slices.Contains([]string{Stop, Kill, Wipe, Old, Alien, Term, Renew}, f.Kind) {
 		if !g.seize(&f) {
 			return
 		}
@@ -525,14 +529,11 @@
 	case Wipe:
 		g.stage.Kill(ctx, f.Member, f.For, func() { os.RemoveAll(g.folder(f.Member)) })
 	case Old:
-		path := filepath.Join(g.folder(f.Member), "group.db")
-		was, err := os.ReadFile(path)
+		was := g.read(f.Member, "group.db", "words.db")
 		sleep(ctx, f.For)
-		g.stage.Kill(ctx, f.Member, 0, func() {
-			if err == nil && len(was) > 0 {
-				os.WriteFile(path, was, 0o600)
-			}
-		})
+		g.stage.Kill(ctx, f.Member, 0, func() { g.write(f.Member, was) })
+	case Alien:
+		g.stage.Kill(ctx, f.Member, f.For, func() { g.write(f.Member, g.read((f.Member+1)%len(g.real), "words.db")) })
 	case Term:
 		g.stage.Terminate(ctx, f.Member)
 	case Renew:
@@ -568,6 +569,25 @@
 	}
 }
 
+// read are files of a member's disk as they are, by name.
+func (g *rig) read(member int, names ...string) map[string][]byte {
+	files := map[string][]byte{}
+	for _, name := range names {
+		if raw, err := os.ReadFile(filepath.Join(g.folder(member), name)); err == nil && len(raw) > 0 {
+			files[name] = raw
+		}
+	}
+	return files
+}
+
+func (g *rig) write(member int, files map[string][]byte) {
+	for name, raw := range files {
+		if err := os.WriteFile(filepath.Join(g.folder(member), name), raw, 0o600); err != nil {
+			g.note(err.Error())
+		}
+	}
+}
+
 // flapEvery is how long a link that flaps is in either state.
 const flapEvery = 300 * time.Millisecond
 
--- a/internal/lab/groups/judge.go
+++ b/internal/lab/groups/judge.go
@@ -20,7 +20,7 @@
 )
 
 // Rules are their names in their order.
-var Rules = []string{ClearRule, BudgetRule, OrderRule, GoesOnRule}
+var Rules = []string{ClearRule, BudgetRule, OrderRule, GoesOnRule, WordsRule}
 
 // judge judges the group's rules by what workers and staff saw.
 func (g *rig) judge(s *lab.Stage) []judge.Breach {
@@ -30,6 +30,7 @@
 	out = append(out, budgetBreaches(g.works, g.downs, g.o.Out, s.Day().Scenario.Terms.WarmWithin)...)
 	out = append(out, orderBreaches(g.seen)...)
 	out = append(out, undoneBreaches(g.seen, g.works)...)
+	out = append(out, g.wordBreaches(s)...)
 	if g.o.Machines > 0 && g.result.Ended == 0 {
 		out = append(out, judge.Breach{Rule: GoesOnRule, Kind: "not through", At: s.Ledger().Now(), Who: -1, Lines: []string{g.result.Last}})
 	}
--- a/internal/lab/groups/result.go
+++ b/internal/lab/groups/result.go
@@ -20,7 +20,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := s.Override(60, length, 9, members); err != nil {
+	if err := s.Override(60, length, workers, members); err != nil {
 		return nil, err
 	}
 	for i := range s.Classes {
--- a/internal/lab/groups/scenarios.go
+++ b/internal/lab/groups/scenarios.go
@@ -30,12 +30,14 @@
 	Plant    string        `toml:"plant"`    // a fault that is switched on in every member ...
 	Caught   string        `toml:"caught"`   // ... and the rule that has to break by it
 	Faults   []Fault       `toml:"fault"`
+	Words    []Word        `toml:"word"` // of staff on runners
 }
 
 // Bounds on a scenario: the day has nine workers.
 const (
 	membersLeast = 3
 	membersMost  = 50
+	workers      = 9
 	machinesMost = 6 // three are left for the rest, and for workers that die by themselves
 	dayLeast     = 10 * time.Second
 	dayMost      = time.Hour
@@ -91,6 +93,18 @@
 			fault(key+"at", "at and for are not below 0")
 		}
 	}
+	for i, w := range s.Words {
+		key := fmt.Sprintf("word[%d].", i)
+		if w.Member < 0 || w.Member >= max(s.Members, 1) {
+			fault(key+"member", "there is no member %d", w.Member)
+		}
+		if w.Worker < 0 || w.Worker >= workers-s.Machines {
+			fault(key+"worker", "%d is not from 0 to %d, which are in no plan", w.Worker, workers-s.Machines-1)
+		}
+		if w.At < 0 {
+			fault(key+"at", "%v is below 0", w.At)
+		}
+	}
 }
 
 // Check names all that is wrong with a scenario that no file has, such as flags'.
--- /dev/null
+++ b/internal/lab/groups/words.go
@@ -0,0 +1,190 @@
+package groups
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"birchfork/internal/lab"
+	"birchfork/internal/lab/judge"
+	"birchfork/internal/spread"
+)
+
+// WordsRule is broken when a word of staff does not bind, is lost, or members do not become one again.
+const WordsRule = "words"
+
+// Word is what staff say at a member, by the timetable.
+type Word struct {
+	Member int           `toml:"member"`
+	Worker int           `toml:"worker"` // of the day; one that is in no plan
+	Out    bool          `toml:"out"`
+	At     time.Duration `toml:"at"`
+}
+
+// spoken is a word that was answered yes.
+type spoken struct {
+	Word
+	name        string
+	asked, came time.Duration
+}
+
+// spreadWithin is how long a word may take to all members that nothing parts: some rounds, and a restart.
+const spreadWithin = 4 * time.Second
+
+// speak has staff say their words.
+func (g *rig) speak(ctx context.Context, w Word) {
+	if sleep(ctx, w.At); ctx.Err() != nil {
+		return
+	}
+	l := g.stage.Ledger()
+	s := spoken{Word: w, name: g.stage.Day().Workers[w.Worker].Name, asked: l.Now()}
+	for ; ctx.Err() == nil; sleep(ctx, 100*time.Millisecond) {
+		r, err := spread.Ask(ctx, g.real[w.Member], spread.Call{Runner: s.name, Out: w.Out})
+		if err != nil || r.Wrong {
+			continue // not there just now
+		}
+		s.came = l.Now()
+		g.mu.Lock()
+		g.spoken = append(g.spoken, s)
+		g.mu.Unlock()
+		return
+	}
+}
+
+// listen asks a member now and then which words it has.
+func (g *rig) listen(ctx context.Context, member int) {
+	for ; ctx.Err() == nil; sleep(ctx, 200*time.Millisecond) {
+		asked := g.stage.Ledger().Now()
+		if r, err := spread.Ask(ctx, g.real[member], spread.Call{}); err == nil {
+			g.mu.Lock()
+			g.told[member] = told{asked, r}
+			g.mu.Unlock()
+		}
+	}
+}
+
+// told is a member's answer on its words.
+type told struct {
+	asked time.Duration
+	reply *spread.Reply
+}
+
+// calm is the first moment from one on at which nothing was wrong for as long as a word may take.
+func (g *rig) calm(from time.Duration) time.Duration {
+	for moved := true; moved; {
+		moved = false
+		for _, f := range g.result.Faults {
+			begin, end := g.result.Origin+f.At, g.result.Origin+f.At+f.For
+			if f.Kind != Down && f.Kind != Far && f.Kind != Unlist && begin < from+spreadWithin && end > from {
+				from, moved = end, true
+			}
+		}
+	}
+	return from
+}
+
+// parted tells whether two members were cut off from each other all the time.
+func (g *rig) parted(a, b int, from, to time.Duration) bool {
+	return a != b && slices.ContainsFunc(g.result.Faults, func(f Fault) bool {
+		return f.Kind == Cut && (f.Member == a || f.Member == b) && g.result.Origin+f.At < from && g.result.Origin+f.At+f.For > to
+	})
+}
+
+// wordBreaches judges by what workers saw, and by what members tell at the end. The lock is held.
+func (g *rig) wordBreaches(s *lab.Stage) (out []judge.Breach) {
+	if len(g.o.Words) == 0 {
+		return nil
+	}
+	breach := func(kind string, at time.Duration, who int, format string, v ...any) {
+		out = append(out, judge.Breach{Rule: WordsRule, Kind: kind, At: at, Who: who, Lines: []string{fmt.Sprintf(format, v...)}})
+	}
+	if len(g.spoken) < len(g.o.Words) {
+		breach("not taken", s.Ledger().Now(), -1, "%d of %d words were answered yes", len(g.spoken), len(g.o.Words))
+	}
+	slices.SortFunc(g.spoken, func(a, b spoken) int { return int(a.asked - b.asked) })
+	for i, w := range g.spoken {
+		until := s.Ledger().Now() // a word back ends this one, unless it was surely said without sight of it
+		for _, o := range g.spoken[i+1:] {
+			if o.Worker == w.Worker && !o.Out && !g.parted(w.Member, o.Member, w.asked, o.asked) {
+				until = min(until, o.asked)
+			}
+		}
+		if !w.Out {
+			continue
+		}
+		all := g.calm(w.came) + spreadWithin
+		for _, a := range s.Ledger().Attempts() {
+			if a.Worker != w.Worker || a.Last == 0 || a.Last >= until {
+				continue
+			}
+			if a.Dispatcher == w.Member && a.Last > w.came+s.Slack() {
+				breach("said here", a.Last, a.Dispatcher, "%s was out from %.3fs by word to this dispatcher; a job's last byte came at %.3fs",
+					w.name, w.came.Seconds(), a.Last.Seconds())
+			} else if a.Last > all {
+				breach("said elsewhere", a.Last, a.Dispatcher, "%s was out from %.3fs by word to dispatcher %d; a job's last byte came at %.3fs",
+					w.name, w.came.Seconds(), w.Member, a.Last.Seconds())
+			}
+		}
+	}
+	end := g.calm(0)
+	for _, w := range g.spoken {
+		end = max(end, g.calm(w.came))
+	}
+	end += spreadWithin
+	for i := range g.real {
+		t, ok := g.told[i]
+		if !ok || t.asked < end {
+			breach("no answer", end, i, "it told nothing of its words after %.3fs", end.Seconds())
+			continue
+		}
+		if first := g.told[0].reply; first != nil && t.reply.Digest != first.Digest {
+			breach("not one", t.asked, i, "it has %s, dispatcher 0 %s", wordsOf(t.reply), wordsOf(first))
+		}
+		for worker := range s.Day().Workers {
+			var last *spoken
+			sure := true // the last word was said when all the others had got around
+			for k := range g.spoken {
+				if w := &g.spoken[k]; w.Worker == worker {
+					if last != nil && g.calm(last.came)+spreadWithin > w.asked {
+						sure = false
+					} else {
+						sure = true
+					}
+					last = w
+				}
+			}
+			if last == nil || !last.Out && !sure {
+				continue
+			}
+			is := slices.ContainsFunc(t.reply.Words, func(w spread.WordStatus) bool { return w.Runner == last.name && w.Out })
+			if is != last.Out {
+				breach("not the last", t.asked, i, "%s: out %t was said last, at dispatcher %d; it has %s", last.name, last.Out, last.Member, wordsOf(t.reply))
+			}
+		}
+	}
+	return out
+}
+
+func wordsOf(r *spread.Reply) string {
+	var all []string
+	for _, w := range r.Words {
+		all = append(all, fmt.Sprintf("%s out %t conflict %t", w.Runner, w.Out, w.Conflict))
+	}
+	return r.Digest + " (" + strings.Join(all, ", ") + ")"
+}
+
+// saySome has words be said beside the faults.
+func (g *rig) saySome(ctx context.Context, all *sync.WaitGroup) {
+	if len(g.o.Words) == 0 {
+		return
+	}
+	for i := range g.real {
+		all.Go(func() { g.listen(ctx, i) })
+	}
+	for _, w := range g.o.Words {
+		all.Go(func() { g.speak(ctx, w) })
+	}
+}
--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -19,8 +19,8 @@
 	}
 	n.door = admin.Open(l, n.config.doors(), admin.Service{
 		Ready: n.ready,
-		Out:   func(id string) error { return n.byHand(id, true) },
-		Back:  func(id string) error { return n.byHand(id, false) },
+		Out:   func(id string) (string, error) { return n.byHand(id, true) },
+		Back:  func(id string) (string, error) { return n.byHand(id, false) },
 	}, quietLog(n.log))
 	n.log.WithField("operator", n.door.Address().String()).Info("the operators' door is open")
 	return nil
@@ -36,15 +36,18 @@
 	if !n.front.Ready() {
 		return fmt.Errorf("%w: it leaves, or does not know the runners yet", admin.ErrNotNow)
 	}
+	if n.copies != nil && !n.copies.CaughtUp() {
+		return fmt.Errorf("%w: it has not heard yet what staff have told the others", admin.ErrNotNow)
+	}
 	return nil
 }
 
-// byHand leaves a runner out, or lets it serve again.
-func (n *node) byHand(id string, out bool) error {
+// byHand leaves a runner out, or lets it serve again. The note is for staff.
+func (n *node) byHand(id string, out bool) (note string, err error) {
 	log := n.log.WithField("runner", id)
 	if !n.store.Knows(id) {
 		log.Info("the operators named a runner that is not known")
-		return admin.ErrUnknown
+		return "", admin.ErrUnknown
 	}
 	word, err := n.process.Say(id, out)
 	if err != nil { // it binds here from now on, and others hear it as soon as that works
@@ -53,10 +56,16 @@
 	if word.At > 0 {
 		n.store.Hand(hands(handover.Words{id: word}))
 	}
+	if n.copies != nil {
+		if note, err = n.copies.Say(id, out, word.At); err != nil {
+			log.WithError(err).Error("what the operators said of a runner does not reach the others")
+			return "", fmt.Errorf("%w: %w", admin.ErrNotNow, err)
+		}
+	}
 	if out {
 		log.Info("the operators have taken a runner out")
 	} else {
 		log.Info("the operators have put a runner back")
 	}
-	return nil
+	return note, nil
 }
--- a/internal/node/group.go
+++ b/internal/node/group.go
@@ -2,7 +2,12 @@
 
 package node
 
-import "birchfork/internal/council"
+import (
+	"fmt"
+
+	"birchfork/internal/council"
+	"birchfork/internal/spread"
+)
 
 // groupsLinked says that this build has what groups need.
 const groupsLinked = true
@@ -24,6 +29,20 @@
 			return err
 		}
 	}
+	var others []string
+	for _, p := range g.Peers {
+		if p.Name != n.config.Name {
+			others = append(others, p.Name)
+		}
+	}
+	s, err := spread.New(spread.Options{
+		Group: g.Name, Self: n.config.Name, Folder: g.Folder, Peers: others, Changed: n.bySpread, Say: n.byHand,
+		Log: n.log.WithField("part", "group"),
+	})
+	if err != nil {
+		return fmt.Errorf("group.folder: %w", err)
+	}
+	n.copies, o.Guest = s, s
 	n.part = council.Start(o)
 	return nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -117,6 +117,7 @@
 	address   net.Addr
 	door      *admin.Door          // nil: there is none
 	part      part                 // in the operators' group; nil: they have none
+	copies    copies               // of what the group's members keep in common; nil as well
 	quit      context.CancelFunc   // ends the watch, the ticking and the sharing
 	listening chan struct{}        // closed once clients can connect
 	listener  *wire.SharedListener // nil: nobody may listen beside us
@@ -129,6 +130,15 @@
 	troubled string            // what went wrong with sharing last: said once
 }
 
+// copies are what the members of a group keep in common: staff's words on runners.
+type copies interface {
+	Say(runner string, out bool, at int64) (note string, err error)
+	Local(handover.Words) // what this dispatcher's processes were told
+	CaughtUp() bool       // with the others, or it has waited long enough
+	Fields() map[string]int64
+	Close()
+}
+
 // part is this process's part in a group of dispatchers.
 type part interface {
 	Leave()                                       // this process stops soon
@@ -413,6 +423,9 @@
 func (n *node) closePart() {
 	if n.part != nil {
 		n.part.Close()
+		if n.copies != nil {
+			n.copies.Close()
+		}
 	}
 }
 
--- a/internal/node/share.go
+++ b/internal/node/share.go
@@ -6,6 +6,8 @@
 	"runtime/debug"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"birchfork/internal/handover"
 	"birchfork/internal/store"
 	"birchfork/internal/wire"
@@ -84,6 +86,20 @@
 	words, err := n.process.Sync()
 	n.trouble(err)
 	n.store.Hand(hands(words))
+	if n.copies != nil {
+		n.copies.Local(words)
+	}
+}
+
+// bySpread puts in force what staff's words on a runner come to in the group, and tells other processes of this dispatcher.
+func (n *node) bySpread(runner string, out bool) int64 {
+	word, err := n.process.Say(runner, out)
+	n.trouble(err)
+	if word.At > 0 {
+		n.store.Hand(hands(handover.Words{runner: word}))
+	}
+	n.log.WithFields(logrus.Fields{"runner": runner, "out": out}).Info("the group has a word on a runner")
+	return word.At
 }
 
 func hands(words handover.Words) map[string]store.Hand {
--- a/internal/plant/lean.go
+++ b/internal/plant/lean.go
@@ -17,6 +17,9 @@
 	NeverClear    = ""
 	SilentAnswer  = ""
 	IgnoresBusy   = ""
+	WordsStay     = ""
+	InWins        = ""
+	Reappears     = ""
 	DiskFails     = ""
 )
 
--- a/internal/plant/plant.go
+++ b/internal/plant/plant.go
@@ -18,13 +18,16 @@
 	NeverClear    = "never-clear"    // a lost member is waited for for ever
 	SilentAnswer  = "silent-answer"  // staff hear yes before it is settled
 	IgnoresBusy   = "ignores-busy"   // what runs at a machine does not keep it from being clear
+	WordsStay     = "words-stay"     // no member tells another its words
+	InWins        = "in-wins"        // of words that did not see each other "back" counts
+	Reappears     = "reappears"      // an entry that was seen and is gone is taken again
 	DiskFails     = "disk-fails"     // no fault of ours: some seconds after its start the disk takes nothing any more
 )
 
 // Names are all faults of ours.
 var Names = []string{
 	NoLease, LongLease, FewWords, NoBudget, DeadUncounted, OwnOrder, ActsTwice, ForgetsOut, SeesAnyway, NeverClear, SilentAnswer,
-	IgnoresBusy,
+	IgnoresBusy, WordsStay, InWins, Reappears,
 }
 
 var on string
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -12,6 +12,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"birchfork/internal/plant"
 )
 
 // Kind is what an entry is about. All kinds have one rule: an entry counts until another one of its kind and name is written by
@@ -153,7 +155,12 @@
 }
 
 // Out is what entries come to: of words that did not see each other "out" counts.
-func Out(all []Entry) bool { return slices.ContainsFunc(all, func(e Entry) bool { return e.Out }) }
+func Out(all []Entry) bool {
+	if plant.On(plant.InWins) {
+		return len(all) > 0 && !slices.ContainsFunc(all, func(e Entry) bool { return !e.Out })
+	}
+	return slices.ContainsFunc(all, func(e Entry) bool { return e.Out })
+}
 
 // Conflict tells whether entries say different things without having seen each other.
 func Conflict(all []Entry) bool {
--- /dev/null
+++ b/internal/spread/spread.go
@@ -0,0 +1,573 @@
+// Package spread carries one member's copy of what is replicated to the others of its group, and keeps it on disk. What copies come
+// to stands in internal/replica; how messages travel in internal/group.
+package spread
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	randv2 "math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"birchfork/internal/group"
+	"birchfork/internal/handover"
+	"birchfork/internal/keep"
+	"birchfork/internal/plant"
+	"birchfork/internal/replica"
+)
+
+// Times and bounds of a member.
+const (
+	roundEvery = time.Second     // between rounds while nothing is new
+	askWait    = time.Second     // for a member's answer
+	fan        = 3               // members that news goes to at once
+	pieceMost  = 200             // entries of a piece, some 40 kB
+	pullsMost  = 4               // members that are asked at a time
+	caughtWait = 2 * time.Second // a start waits for the others' words no longer than that
+	caughtFrom = 2               // ... or until so many have told all they had
+)
+
+// The paths of the links.
+const (
+	pathHello = "/group/copies/hello"
+	pathPull  = "/group/copies/pull"
+	pathGone  = "/group/copies/gone"
+	PathStaff = "/group/words"
+)
+
+// Options is all that a Spread is made of.
+type Options struct {
+	Group, Self string
+	Folder      string   // empty: nothing is kept over a restart
+	Peers       []string // the other members
+	// Changed puts what staff's words on a runner come to now in force at this dispatcher, and returns which word that was there.
+	Changed func(runner string, out bool) int64
+	// Say says a word as the operators' door does.
+	Say func(runner string, out bool) (note string, err error)
+	Log logrus.FieldLogger
+}
+
+// Counters count what passes.
+type Counters struct {
+	Rounds, Pieces, Taken, Dropped, Refused, Unkept atomic.Int64
+}
+
+// Spread is one member's part, until Close.
+type Spread struct {
+	Counters Counters
+
+	o     Options
+	began time.Time
+
+	mu      sync.Mutex
+	copy    *replica.Copy // nil: another process of this dispatcher has it
+	disk    *disk
+	dirty   map[string]bool // names that the disk may not have
+	synced  uint64          // what was seen, as the disk has it
+	unkept  error           // why the disk may not have them
+	heard   map[string]replica.Seen
+	pulls   map[string]*replica.Pull
+	asking  map[string]bool
+	caught  map[string]bool  // members that have told all they had
+	known   map[string]int64 // words of this dispatcher's processes that are in the copy, or were before it
+	before  map[string]bool  // runners that were out before, of which the copy knew nothing
+	settled bool             // words from before are told apart from new ones
+
+	links *group.Links // nil: this process has no place in the group
+	quit  context.CancelFunc
+	done  chan struct{}
+	news  chan struct{}
+	meet  chan string
+}
+
+// New reads the disk, so that what it has binds before anything is sent. Where another process of this dispatcher has it that one
+// is to tell, until it leaves.
+func New(o Options) (*Spread, error) {
+	s := &Spread{o: o, began: time.Now(), news: make(chan struct{}, 1), meet: make(chan string, 16)}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.open(); err != nil && !errors.Is(err, keep.ErrTaken) {
+		return nil, err
+	}
+	return s, nil
+}
+
+// open begins a copy by what the disk has. The lock is held.
+func (s *Spread) open() error {
+	c := replica.New(rand.Text()[:16]) // a life of its own: no count of it was ever used
+	d, unreadable, err := openDisk(s.o.Folder, s.o.Group, c)
+	if errors.Is(err, keep.ErrTaken) || errors.Is(err, keep.ErrForeign) {
+		return err
+	}
+	if unreadable != nil {
+		s.o.Log.WithError(unreadable).Error("the words that this member kept cannot be read; the others' are taken")
+	}
+	if s.unkept = nil; err != nil {
+		s.unkept = err
+		s.o.Log.WithError(err).Error("the group's folder cannot be used: words are not kept over a restart of this member")
+	}
+	s.copy, s.disk, s.dirty, s.synced = c, d, map[string]bool{}, c.Seen().Sum()
+	s.heard, s.pulls, s.asking, s.caught = map[string]replica.Seen{}, map[string]*replica.Pull{}, map[string]bool{}, map[string]bool{}
+	s.known, s.before, s.settled = map[string]int64{}, map[string]bool{}, false
+	for _, name := range c.Names(replica.Word) {
+		if out := s.out(name); out {
+			s.known[name] = s.o.Changed(name, out)
+		}
+	}
+	return nil
+}
+
+// out is what staff's words on a runner come to. The lock is held.
+func (s *Spread) out(name string) bool { return replica.Out(s.copy.Get(replica.Word, name)) }
+
+// Enter takes part by the links of a place in the group, before they serve.
+func (s *Spread) Enter(l *group.Links) {
+	s.mu.Lock()
+	if s.copy == nil {
+		if err := s.open(); err != nil {
+			s.o.Log.WithError(err).Error("this member takes no part in what is replicated")
+		}
+	}
+	s.links = l
+	s.mu.Unlock()
+	l.Handle(pathHello, s.onHello)
+	l.Handle(pathPull, s.onPull)
+	l.Handle(pathGone, s.onGone)
+	l.HandleStaff(PathStaff, s.onStaff)
+	ctx, quit := context.WithCancel(context.Background())
+	s.quit, s.done = quit, make(chan struct{})
+	go s.run(ctx, s.done)
+}
+
+// Leave gives the place up: another process of this dispatcher has the copy from then on.
+func (s *Spread) Leave() {
+	s.quit()
+	<-s.done
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.links = nil
+	s.shut()
+}
+
+// shut lets go of copy and disk. The lock is held.
+func (s *Spread) shut() {
+	if s.copy == nil {
+		return
+	}
+	s.keep()
+	if err := s.disk.close(); err != nil {
+		s.o.Log.WithError(err).Warn("the group's words were not closed in order")
+	}
+	s.copy, s.disk = nil, nil
+}
+
+// Close ends this member's part, after Leave if it has a place.
+func (s *Spread) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.shut()
+}
+
+// keep writes what the disk may not have; it is tried again with each round. The lock is held.
+func (s *Spread) keep() error {
+	sum := s.copy.Seen().Sum()
+	if len(s.dirty) == 0 && sum == s.synced || s.disk == nil {
+		return s.unkept
+	}
+	err := s.disk.write(s.copy, s.dirty)
+	if err != nil {
+		s.Counters.Unkept.Add(1)
+		if s.unkept == nil {
+			s.o.Log.WithError(err).Error("words are not kept on this member's disk; it is tried again")
+		}
+	} else {
+		s.dirty, s.synced = map[string]bool{}, sum
+	}
+	s.unkept = err
+	return err
+}
+
+// Say takes a word of staff that is in force here already, as the given word of this dispatcher's processes, and syncs it. The
+// note is for staff: what they should know beside that it was taken.
+func (s *Spread) Say(runner string, out bool, at int64) (note string, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.copy == nil {
+		return "", nil // the process that has the copy hears it from this one's
+	}
+	return s.say(runner, out, at)
+}
+
+func (s *Spread) say(runner string, out bool, at int64) (note string, err error) {
+	s.known[runner] = at
+	delete(s.before, runner)
+	all := s.copy.Get(replica.Word, runner)
+	if replica.Out(all) != out || replica.Conflict(all) || out && len(all) == 0 {
+		if _, err := s.copy.Say(replica.Entry{Kind: replica.Word, Name: runner, Out: out, Member: s.o.Self, At: time.Now().UnixMilli()}); err != nil {
+			return "", fmt.Errorf("it binds here alone: %w", err)
+		}
+		s.dirty[runner] = true
+	}
+	switch err := s.keep(); {
+	case err != nil:
+		note = fmt.Sprintf("this member does not keep it over a restart: %v", err)
+	case s.disk == nil:
+		note = fmt.Sprintf("this member does not keep it over a restart: %v", errNoFolder)
+	}
+	s.poke()
+	return note, nil
+}
+
+func (s *Spread) poke() {
+	select {
+	case s.news <- struct{}{}:
+	default:
+	}
+}
+
+// Local hears all words of this dispatcher's processes, now and then: what another one was told goes into the copy. Those from
+// before count where the copy knows nothing of a runner, once the others had time to tell.
+func (s *Spread) Local(words handover.Words) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.copy == nil {
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(words)) {
+		w := words[name]
+		if s.known[name] == w.At {
+			continue
+		}
+		s.known[name] = w.At
+		all := s.copy.Get(replica.Word, name)
+		switch {
+		case s.settled:
+			if replica.Out(all) != w.Out {
+				s.say(name, w.Out, w.At)
+			}
+		case len(all) == 0 && w.Out:
+			s.before[name] = true
+		case replica.Out(all) != w.Out:
+			s.known[name] = s.o.Changed(name, !w.Out)
+		}
+	}
+	s.settled = true
+	if len(s.before) > 0 && s.caughtUp() {
+		for _, name := range slices.Sorted(maps.Keys(s.before)) {
+			if len(s.copy.Get(replica.Word, name)) == 0 {
+				s.say(name, true, s.known[name])
+			}
+		}
+		clear(s.before)
+	}
+}
+
+// CaughtUp tells whether this member has what others had at its start, or has waited for it long enough.
+func (s *Spread) CaughtUp() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.copy == nil || s.caughtUp()
+}
+
+func (s *Spread) caughtUp() bool {
+	return len(s.caught) >= min(caughtFrom, len(s.o.Peers)) || time.Since(s.began) > caughtWait
+}
+
+// put has names that may mean something else now be in force and on disk. The lock is held.
+func (s *Spread) put(names []string) {
+	slices.Sort(names)
+	for _, name := range slices.Compact(names) {
+		s.dirty[name] = true
+		delete(s.before, name)
+		s.known[name] = s.o.Changed(name, s.out(name))
+	}
+	s.keep()
+	if len(names) > 0 {
+		s.poke()
+	}
+}
+
+// run meets other members, round by round.
+func (s *Spread) run(ctx context.Context, done chan struct{}) {
+	defer close(done)
+	var all sync.WaitGroup
+	defer all.Wait()
+	slots := make(chan struct{}, pullsMost)
+	to := func(name string) {
+		s.mu.Lock()
+		free := s.copy != nil && !s.asking[name]
+		if free {
+			s.asking[name] = true
+		}
+		s.mu.Unlock()
+		if !free || plant.On(plant.WordsStay) {
+			return
+		}
+		all.Go(func() {
+			defer func() {
+				s.mu.Lock()
+				delete(s.asking, name)
+				s.mu.Unlock()
+			}()
+			select {
+			case slots <- struct{}{}:
+				defer func() { <-slots }()
+			case <-ctx.Done():
+				return
+			}
+			if err := s.visit(ctx, name); err != nil {
+				s.o.Log.WithError(err).WithField("member", name).Debug("a member's words could not be taken")
+			}
+		})
+	}
+	for first := true; ctx.Err() == nil; first = false {
+		n := 1
+		if !first {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(roundEvery/2 + randv2.N(roundEvery)):
+			case <-s.news:
+				n = fan
+			case name := <-s.meet:
+				to(name)
+				continue
+			}
+		} else {
+			n = fan
+		}
+		s.Counters.Rounds.Add(1)
+		for _, i := range randv2.Perm(len(s.o.Peers))[:min(n, len(s.o.Peers))] {
+			to(s.o.Peers[i])
+		}
+		s.forget()
+	}
+}
+
+// forget lets go of words "back" that all members have.
+func (s *Spread) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.copy == nil {
+		return
+	}
+	var members []replica.Seen
+	for _, name := range s.o.Peers {
+		seen, ok := s.heard[name]
+		if !ok {
+			s.keep()
+			return
+		}
+		members = append(members, seen)
+	}
+	for _, name := range s.copy.Forget(members) {
+		s.dirty[name] = true
+	}
+	s.keep()
+}
+
+// hello is what a copy is like, in short.
+type hello struct {
+	Seen uint64   `json:"seen"`
+	Sum  uint64   `json:"sum"`
+	Sums []uint64 `json:"sums,omitempty"` // by bucket, where the same was seen and not the same is there
+}
+
+type pull struct {
+	Seen replica.Seen `json:"seen"`
+	From replica.Mark `json:"from"`
+}
+
+type gone struct {
+	Seen uint64        `json:"seen"`
+	Dots []replica.Dot `json:"dots"`
+}
+
+var errOutside = &group.Refused{Text: "this process has no copy"}
+
+// visit takes all that a member has and we have not, and lets go of what it has seen go.
+func (s *Spread) visit(ctx context.Context, name string) error {
+	for tries := 0; ; tries++ {
+		s.mu.Lock()
+		if s.copy == nil {
+			s.mu.Unlock()
+			return errOutside
+		}
+		is, seen := hello{Seen: s.copy.Seen().Sum(), Sum: s.copy.Sum()}, s.copy.Seen()
+		s.mu.Unlock()
+		var its hello
+		if err := s.ask(ctx, name, pathHello, is, &its); err != nil {
+			return err
+		}
+		switch {
+		case its.Seen == is.Seen && its.Sum == is.Sum:
+			s.mu.Lock()
+			s.heard[name], s.caught[name] = seen, true
+			s.mu.Unlock()
+			return nil
+		case its.Seen == is.Seen && len(its.Sums) > 0:
+			if err := s.mend(ctx, name, is, its); err != nil {
+				return err
+			}
+		default:
+			if err := s.pull(ctx, name); err != nil {
+				return err
+			}
+			s.mu.Lock()
+			s.caught[name] = true
+			s.mu.Unlock()
+		}
+		if tries > 0 { // the rest is the next round's
+			return nil
+		}
+	}
+}
+
+// pull takes pieces up to the last one; what is cut off goes on there.
+func (s *Spread) pull(ctx context.Context, name string) error {
+	for {
+		s.mu.Lock()
+		if s.copy == nil {
+			s.mu.Unlock()
+			return errOutside
+		}
+		p := s.pulls[name]
+		if p == nil {
+			p = &replica.Pull{}
+			s.pulls[name] = p
+		}
+		ask := pull{s.copy.Seen(), p.Mark}
+		s.mu.Unlock()
+		var piece replica.Piece
+		if err := s.ask(ctx, name, pathPull, ask, &piece); err != nil {
+			return err
+		}
+		s.mu.Lock()
+		if s.copy == nil {
+			s.mu.Unlock()
+			return errOutside
+		}
+		changed, err := s.copy.Take(p, piece)
+		if err != nil {
+			s.Counters.Refused.Add(1)
+			delete(s.pulls, name)
+			s.mu.Unlock()
+			return err
+		}
+		s.Counters.Pieces.Add(1)
+		s.Counters.Taken.Add(int64(len(changed)))
+		s.put(changed)
+		s.mu.Unlock()
+		if piece.Done {
+			return nil
+		}
+	}
+}
+
+// mend lets go of entries that a member has seen go, where both have seen the same.
+func (s *Spread) mend(ctx context.Context, name string, is, its hello) error {
+	s.mu.Lock()
+	if s.copy == nil {
+		s.mu.Unlock()
+		return errOutside
+	}
+	ask := gone{is.Seen, s.copy.Dots(s.copy.Differ(its.Sums))}
+	s.mu.Unlock()
+	var out gone
+	if err := s.ask(ctx, name, pathGone, ask, &out); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.copy == nil {
+		return errOutside
+	}
+	changed := s.copy.Drop(out.Dots)
+	s.Counters.Dropped.Add(int64(len(changed)))
+	s.put(changed)
+	return nil
+}
+
+func (s *Spread) ask(ctx context.Context, to, path string, in, out any) error {
+	s.mu.Lock()
+	l := s.links
+	s.mu.Unlock()
+	if l == nil {
+		return errOutside
+	}
+	raw, err := json.Marshal(in)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, askWait)
+	defer cancel()
+	if raw, err = l.Ask(ctx, to, path, raw); err != nil {
+		return err
+	}
+	if err := json.Unmarshal(raw, out); err != nil {
+		return fmt.Errorf("%s of %s: %w", path, to, err)
+	}
+	return nil
+}
+
+// answer reads a member's message and answers it, under the lock.
+func answer[In, Out any](s *Spread, body []byte, do func(*In) (Out, error)) ([]byte, error) {
+	var in In
+	if err := json.Unmarshal(body, &in); err != nil {
+		s.Counters.Refused.Add(1)
+		return nil, &group.Refused{Text: "no message about copies: " + err.Error()}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.copy == nil {
+		return nil, errOutside
+	}
+	out, err := do(&in)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(out)
+}
+
+func (s *Spread) onHello(_ context.Context, from group.Sender, body []byte) ([]byte, error) {
+	return answer(s, body, func(its *hello) (hello, error) {
+		is := hello{Seen: s.copy.Seen().Sum(), Sum: s.copy.Sum()}
+		if its.Seen == is.Seen && its.Sum == is.Sum {
+			s.heard[from.Name] = s.copy.Seen()
+			return is, nil
+		}
+		if its.Seen == is.Seen {
+			is.Sums = s.copy.Sums()
+		}
+		select {
+		case s.meet <- from.Name: // it may have what we have not
+		default:
+		}
+		return is, nil
+	})
+}
+
+func (s *Spread) onPull(_ context.Context, from group.Sender, body []byte) ([]byte, error) {
+	return answer(s, body, func(p *pull) (replica.Piece, error) {
+		s.heard[from.Name] = p.Seen
+		return s.copy.News(p.Seen, p.From, pieceMost), nil
+	})
+}
+
+func (s *Spread) onGone(_ context.Context, _ group.Sender, body []byte) ([]byte, error) {
+	return answer(s, body, func(g *gone) (gone, error) {
+		// Guards against one that has seen less: what we let go of may be replaced by what it has not.
+		if g.Seen != s.copy.Seen().Sum() {
+			return gone{}, &group.Refused{Text: "not the same was seen here"}
+		}
+		return gone{g.Seen, s.copy.Gone(g.Dots)}, nil
+	})
+}
--- /dev/null
+++ b/internal/spread/staff.go
@@ -0,0 +1,103 @@
+package spread
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"birchfork/internal/group"
+	"birchfork/internal/replica"
+)
+
+// Call is what staff ask for at a member.
+type Call struct {
+	Runner string `json:"runner,omitempty"` // whom a word is on; empty: all are told
+	Out    bool   `json:"out,omitempty"`
+}
+
+// Reply is the answer to a Call.
+type Reply struct {
+	Told     string           `json:"told"` // by which member
+	Text     string           `json:"text,omitempty"`
+	Wrong    bool             `json:"wrong,omitempty"`
+	CaughtUp bool             `json:"caught_up"`
+	Kept     string           `json:"kept,omitempty"` // why nothing is kept over a restart; empty: it is
+	Digest   string           `json:"digest"`         // the same at members that have the same words
+	Lives    int              `json:"lives"`
+	Words    []WordStatus     `json:"words"`
+	Counters map[string]int64 `json:"counters"`
+}
+
+// WordStatus is what staff have said of a runner.
+type WordStatus struct {
+	Runner   string `json:"runner"`
+	Out      bool   `json:"out"`
+	Conflict bool   `json:"conflict,omitempty"` // words that did not know of each other; a new one ends it
+	Said     []Said `json:"said"`
+}
+
+// Said is one word.
+type Said struct {
+	Out    bool      `json:"out"`
+	Member string    `json:"member"`
+	At     time.Time `json:"at"` // by that member's clock
+}
+
+func (s *Spread) onStaff(_ context.Context, _ group.Sender, body []byte) ([]byte, error) {
+	var c Call
+	if err := json.Unmarshal(body, &c); err != nil {
+		return json.Marshal(Reply{Wrong: true, Text: "no call: " + err.Error()})
+	}
+	text := ""
+	if c.Runner != "" {
+		note, err := s.o.Say(c.Runner, c.Out)
+		if err != nil {
+			return json.Marshal(Reply{Told: s.o.Self, Wrong: true, Text: err.Error()})
+		}
+		if text = "yes"; note != "" {
+			text = "yes; " + note
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.copy == nil {
+		return nil, errOutside
+	}
+	r := s.status()
+	r.Text = text
+	return json.Marshal(r)
+}
+
+// status is what is known here. The lock is held.
+func (s *Spread) status() *Reply {
+	r := &Reply{
+		Told: s.o.Self, CaughtUp: s.caughtUp(), Digest: fmt.Sprintf("%016x", s.copy.Sum()), Lives: len(s.copy.Seen()), Counters: s.Fields(),
+	}
+	switch {
+	case s.unkept != nil:
+		r.Kept = s.unkept.Error()
+	case s.disk == nil:
+		r.Kept = errNoFolder.Error()
+	}
+	for _, name := range s.copy.Names(replica.Word) {
+		all := s.copy.Get(replica.Word, name)
+		w := WordStatus{Runner: name, Out: replica.Out(all), Conflict: replica.Conflict(all)}
+		for _, e := range all {
+			w.Said = append(w.Said, Said{e.Out, e.Member, time.UnixMilli(e.At)})
+		}
+		slices.SortFunc(w.Said, func(a, b Said) int { return a.At.Compare(b.At) })
+		r.Words = append(r.Words, w)
+	}
+	return r
+}
+
+// Fields are the counters, for log and status.
+func (s *Spread) Fields() map[string]int64 {
+	c := &s.Counters
+	return map[string]int64{
+		"rounds": c.Rounds.Load(), "pieces": c.Pieces.Load(), "taken": c.Taken.Load(), "dropped": c.Dropped.Load(),
+		"refused": c.Refused.Load(), "unkept": c.Unkept.Load(),
+	}
+}
