--- a/cmd/birchfork/outage.go
+++ b/cmd/birchfork/outage.go
@@ -36,6 +36,10 @@
 	Found  groupFound  `cmd:"" help:"Begin the group, at the member that is named; the others join it by themselves."`
 	Status groupStatus `cmd:"" help:"Say who is in, who votes, who leads and who was heard of when."`
 	Retire groupRetire `cmd:"" help:"Say that a member runs no more: it is waited for no longer."`
+
+	Words   groupWords   `cmd:"" help:"Say which runners staff have taken out or put back, as one member has it."`
+	Resolve groupResolve `cmd:"" help:"Say a word on a runner that ends a conflict."`
+	Diff    groupDiff    `cmd:"" help:"Say on which runners the members that are named have different words."`
 }
 
 // outageCommands are about machines that are taken out for work.
@@ -64,15 +68,23 @@
 func (e *notNow) Error() string        { return e.text }
 func (e *notNow) Is(target error) bool { return target == errNotNow }
 
-// ask makes a call until it is answered.
-func (m *members) ask(call council.Call) (*council.Reply, error) {
+// check tells whom --at does not name.
+func (m *members) check() error {
 	for _, a := range m.At {
 		if host, port, err := net.SplitHostPort(a); err != nil || host == "" || port == "" {
-			return nil, fmt.Errorf("--at: %q is not host:port", a)
+			return fmt.Errorf("--at: %q is not host:port", a)
 		}
 	}
 	if len(m.At) == 0 {
-		return nil, errors.New("--at, or BIRCHFORK_GROUP: no member is named")
+		return errors.New("--at, or BIRCHFORK_GROUP: no member is named")
+	}
+	return nil
+}
+
+// ask makes a call until it is answered.
+func (m *members) ask(call council.Call) (*council.Reply, error) {
+	if err := m.check(); err != nil {
+		return nil, err
 	}
 	return (&council.Client{At: m.At}).Ask(context.Background(), call)
 }
--- a/cmd/birchfork/outage_test.go
+++ b/cmd/birchfork/outage_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -58,12 +59,23 @@
 		{[]string{"start", "--at", at, "p"}, `{"code":2,"text":"not in the group yet: d3"}`, 2, "not in the group yet: d3"},
 		{[]string{"wait", "--for", "1ms", "--at", at, "m"}, `{"code":2,"text":"m is waiting"}`, 2, "m is waiting"},
 		{[]string{"start", "--json", "--at", at, "p"}, `{"code":1,"text":"no plan"}`, 1, `{"code":1,"text":"no plan"}`},
+		{[]string{"words", "--at", at}, `{"told":"d1","words":[{"runner":"r","out":true,"conflict":true,"said":[{"member":"d0"}]}]}`, 0, "r       out   true      d0 back"},
+		{[]string{"words", "--at", "127.0.0.1:1"}, "", 2, "no member answers"},
+		{[]string{"resolve", "--at", at, "r", "back"}, `{"text":"yes; it is not kept"}`, 0, "yes; it is not kept"},
+		{[]string{"resolve", "--at", at, "r", "back"}, `{"wrong":true,"text":"no runner"}`, 1, "no runner"},
+		{[]string{"resolve", "--at", at, "r", "gone"}, "", 1, `must be one of "out","back"`},
+		{[]string{"diff", "--at", at}, `{"told":"d1"}`, 0, "d1 have the same words"},
+		{[]string{"diff", "--at", at + ",127.0.0.1:1"}, `{"told":"d1"}`, 2, "127.0.0.1:1 did not answer"},
 		{[]string{"status", "--at", "nonsense"}, "", 1, `--at: "nonsense" is not host:port`},
 		{[]string{"status", "--at", ""}, "", 1, "no member is named"},
 	} {
 		reply = c.reply
 		var out, bad bytes.Buffer
-		status := run(append([]string{"outage"}, c.args...), output{&out, &bad})
+		command := "outage"
+		if slices.Contains([]string{"words", "resolve", "diff"}, c.args[0]) {
+			command = "group"
+		}
+		status := run(append([]string{command}, c.args...), output{&out, &bad})
 		if status != c.status || !strings.Contains(out.String()+bad.String(), c.want) {
 			t.Errorf("%v: exit status %d, %s%s; want %d, %q", c.args, status, &out, &bad, c.status, c.want)
 		}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -22,6 +22,7 @@
 	}
 	said  []Entry
 	lives int
+	late  []func() // pieces that were asked for and are on their way
 }
 
 func newWorld(t *rapid.T, n int) *world {
@@ -54,6 +55,17 @@
 	return all
 }
 
+// ask has j answer i with a piece from the beginning on, which comes some time later.
+func (w *world) ask(i, j int) {
+	p := w.all[j].News(w.all[i].Seen(), Mark{}, 9)
+	to := w.all[i]
+	w.late = append(w.late, func() {
+		if to == w.all[i] { // else it has begun anew, and the answer goes nowhere
+			to.Take(&Pull{}, p)
+		}
+	})
+}
+
 // piece carries one piece from j to i, twice if so asked.
 func (w *world) piece(i, j, most int, twice bool) (done bool) {
 	p := w.pulls[i][j]
@@ -132,7 +144,7 @@
 		who := rapid.IntRange(0, n-1)
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			i, j := who.Draw(t, "i"), who.Draw(t, "j")
-			switch rapid.IntRange(0, 8).Draw(t, "what") {
+			switch rapid.IntRange(0, 10).Draw(t, "what") {
 			case 0, 1, 2:
 				e, err := w.all[i].Say(Entry{Kind: Word, Name: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name"), Out: rapid.Bool().Draw(t, "out")})
 				if err != nil {
@@ -159,9 +171,21 @@
 				was := w.entries(w.all[i])
 				w.all[i].Forget(members)
 				for _, e := range was {
-					forgot[e.Dot] = forgot[e.Dot] || w.all[i].find(e.Dot) == nil
+					if w.all[i].find(e.Dot) == nil {
+						if forgot[e.Dot] = true; e.Out {
+							t.Fatalf("a word that binds was forgotten: %+v", e)
+						}
+					}
 				}
 				w.repair(i, j)
+			case 9:
+				w.ask(i, j)
+			case 10:
+				if n := len(w.late); n > 0 {
+					k := rapid.IntRange(0, n-1).Draw(t, "late")
+					w.late[k]()
+					w.late = slices.Delete(w.late, k, k+1)
+				}
 			}
 		}
 		for range 3 {
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -555,9 +555,8 @@
 	})
 }
 
-func (s *Spread) onPull(_ context.Context, from group.Sender, body []byte) ([]byte, error) {
+func (s *Spread) onPull(_ context.Context, _ group.Sender, body []byte) ([]byte, error) {
 	return answer(s, body, func(p *pull) (replica.Piece, error) {
-		s.heard[from.Name] = p.Seen
 		return s.copy.News(p.Seen, p.From, pieceMost), nil
 	})
 }
--- /dev/null
+++ b/internal/spread/spread_test.go
@@ -0,0 +1,297 @@
+package spread
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.uber.org/goleak"
+
+	"birchfork/internal/group"
+	"birchfork/internal/handover"
+	"birchfork/internal/replica"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// seat is a dispatcher as a Spread sees it: its words in force, which count up.
+type seat struct {
+	mu  sync.Mutex
+	out map[string]bool
+	at  int64
+}
+
+func (s *seat) changed(runner string, out bool) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.at++
+	s.out[runner] = out
+	return s.at
+}
+
+func (s *seat) is(runner string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.out[runner]
+}
+
+func start(t *testing.T, name, folder string, peers ...string) (*Spread, *seat) {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	at := &seat{out: map[string]bool{}}
+	s, err := New(Options{Group: "g", Self: name, Folder: folder, Peers: peers, Changed: at.changed, Log: log,
+		Say: func(string, bool) (string, error) { return "", nil }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s, at
+}
+
+// join puts members on links, and returns what parts them again.
+func join(t *testing.T, all ...*Spread) (part func()) {
+	t.Helper()
+	var on []net.Listener
+	var peers []group.Peer
+	for _, s := range all {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		on, peers = append(on, l), append(peers, group.Peer{Name: s.o.Self, Link: l.Addr().String()})
+	}
+	var links []*group.Links
+	for i, s := range all {
+		l := group.Open(group.Options{
+			Group: "g", Self: s.o.Self, Peers: peers, Log: s.o.Log, Lost: func(string) {}, Old: func(string, string) bool { return false },
+			Who: func() group.Sender { return group.Sender{Name: s.o.Self, Life: "1"} },
+		})
+		s.Enter(l)
+		l.Serve(on[i])
+		links = append(links, l)
+	}
+	return func() {
+		for i, s := range all {
+			s.Leave()
+			links[i].Close()
+		}
+	}
+}
+
+func await(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("in vain: ", what)
+		}
+	}
+}
+
+// A word reaches all, is there after a restart, and a word back that all have is forgotten by all.
+func TestAWordsWay(t *testing.T) {
+	folder := t.TempDir()
+	a, atA := start(t, "a", folder, "b", "c")
+	b, atB := start(t, "b", t.TempDir(), "a", "c")
+	c, atC := start(t, "c", "", "a", "b")
+	part := join(t, a, b, c)
+	if note, err := a.Say("r", true, 1); note != "" || err != nil {
+		t.Errorf("note %q, %v", note, err)
+	}
+	if note, _ := c.Say("q", true, 1); !strings.Contains(note, "no folder") {
+		t.Errorf("one that keeps nothing says %q", note)
+	}
+	await(t, "all have both", func() bool { return atB.is("r") && atC.is("r") && atA.is("q") && atB.is("q") })
+	part()
+	a.Close()
+	again, at := start(t, "a", folder, "b", "c")
+	if !at.is("r") || !at.is("q") {
+		t.Errorf("a restart has %v", at.out)
+	}
+	b.mu.Lock() // what it had, on its disk; it has a place again
+	if err := b.open(); err != nil {
+		t.Fatal(err)
+	}
+	b.mu.Unlock()
+	c2, _ := start(t, "c", "", "a", "b")
+	part = join(t, again, b, c2)
+	defer part()
+	again.Say("r", false, 9)
+	again.Say("q", false, 9)
+	await(t, "nothing is left of it", func() bool {
+		for _, s := range []*Spread{again, b, c2} {
+			s.mu.Lock()
+			n := s.copy.Len()
+			s.mu.Unlock()
+			if n > 0 || atB.is("r") {
+				return false
+			}
+		}
+		return true
+	})
+	again.mu.Lock()
+	defer again.mu.Unlock()
+	seen := again.copy.Seen().Sum()
+	kept := replica.New("z")
+	again.disk.close()
+	if d, _, err := openDisk(folder, "g", kept); err != nil || kept.Seen().Sum() != seen {
+		t.Errorf("%v; its disk has seen %v, not %v", err, kept.Seen(), again.copy.Seen())
+	} else {
+		d.close()
+	}
+	again.disk = nil
+}
+
+// What one let go of may be replaced by what the asker has not seen: then it does not say so.
+func TestGoneNeedsTheSameSight(t *testing.T) {
+	s, _ := start(t, "a", "")
+	s.Say("r", true, 1)
+	old := s.copy.Get(replica.Word, "r")[0].Dot
+	s.Say("r", false, 2)
+	for seen, want := range map[uint64]bool{s.copy.Seen().Sum(): true, replica.Seen{old.Life: 1}.Sum(): false} {
+		body, err := json.Marshal(gone{seen, []replica.Dot{old}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		out, err := s.onGone(context.Background(), group.Sender{Name: "b"}, body)
+		if told := strings.Contains(string(out), old.Life); told != want || (err == nil) != want {
+			t.Errorf("%s, %v; want it told: %t", out, err, want)
+		}
+	}
+}
+
+// A word ends a conflict, also the one that counts already.
+func TestAWordEndsAConflict(t *testing.T) {
+	s, _ := start(t, "a", "")
+	other := replica.New("other")
+	other.Say(replica.Entry{Kind: replica.Word, Name: "r", Member: "b"})
+	s.Say("r", true, 1)
+	if _, err := s.copy.Take(&replica.Pull{}, other.News(nil, replica.Mark{}, 9)); err != nil {
+		t.Fatal(err)
+	}
+	if r := s.status(); len(r.Words) != 1 || !r.Words[0].Conflict || !r.Words[0].Out {
+		t.Errorf("%+v", r.Words)
+	}
+	s.Say("r", true, 2)
+	if r := s.status(); len(r.Words[0].Said) != 1 || r.Words[0].Conflict || !r.Words[0].Out {
+		t.Errorf("%+v", r.Words)
+	}
+}
+
+// What this dispatcher's processes were told: new words go into the copy, those from before do only where the copy knows nothing
+// of a runner and the others had their time.
+func TestLocalWords(t *testing.T) {
+	s, at := start(t, "a", "", "b")
+	if _, err := s.copy.Say(replica.Entry{Kind: replica.Word, Name: "known", Out: true, Member: "b"}); err != nil {
+		t.Fatal(err)
+	}
+	before := handover.Words{"known": {Out: false, At: 3}, "lost": {Out: true, At: 3}, "back": {Out: false, At: 3}}
+	s.Local(before)
+	if !at.is("known") || s.copy.Len() != 1 {
+		t.Errorf("known is out: %t; %d entries", at.is("known"), s.copy.Len())
+	}
+	s.caught["b"] = true
+	before["known"] = handover.Word{Out: true, At: s.known["known"]}
+	s.Local(before)
+	if s.copy.Len() != 2 || !s.out("lost") {
+		t.Errorf("%d entries, lost is out: %t", s.copy.Len(), s.out("lost"))
+	}
+	before["lost"] = handover.Word{Out: false, At: before["lost"].At} // a file that was not written yet
+	s.Local(before)
+	if !s.out("lost") {
+		t.Error("an old word was said again")
+	}
+	before["known"] = handover.Word{Out: false, At: 99} // said to the process beside us
+	s.Local(before)
+	s.Local(before)
+	if all := s.copy.Get(replica.Word, "known"); len(all) != 1 || all[0].Out || !all[0].Saw.Has(replica.Dot{Life: all[0].Life, Count: 1}) {
+		t.Errorf("%+v", all)
+	}
+}
+
+// A disk that cannot be used is told to staff with each word; another group's is refused; a torn one is put aside.
+func TestDisks(t *testing.T) {
+	folder := t.TempDir()
+	s, _ := start(t, "a", folder)
+	s.Say("r", true, 1)
+	s.Close()
+	file := filepath.Join(folder, diskFile)
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := New(Options{Group: "other", Folder: folder, Log: s.o.Log}); err == nil || !strings.Contains(err.Error(), `group "g", not 1, "other"`) {
+		t.Errorf("another group's: %v", err)
+	}
+	lost := 0
+	for cut := 0; cut < len(raw); cut += 512 { // torn, or bits of a page turned
+		for _, torn := range [][]byte{raw[:cut], append(append(append([]byte{}, raw[:cut]...), 0xff), raw[cut+1:]...)} {
+			if err := os.WriteFile(file, torn, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			s, at := start(t, "a", folder)
+			if n := s.copy.Len(); n > 1 || n == 1 && !at.is("r") {
+				t.Errorf("cut at %d: %d entries, %v", cut, n, at.out)
+			} else {
+				lost += 1 - n
+			}
+			s.Close()
+		}
+	}
+	if lost == 0 {
+		t.Error("no torn disk lost anything: nothing was tried")
+	}
+	bad := filepath.Join(t.TempDir(), "file")
+	if err := os.WriteFile(bad, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s, _ = start(t, "a", t.TempDir())
+	s.disk.db.Close() // it takes nothing any more
+	if note, err := s.Say("r", true, 1); err != nil || !strings.Contains(note, "does not keep it over a restart: the group's disk") || s.Counters.Unkept.Load() != 1 {
+		t.Errorf("a disk that fails: %q, %v", note, err)
+	}
+	s, _ = start(t, "a", bad)
+	if note, err := s.Say("r", true, 1); err != nil || !strings.Contains(note, "does not keep it over a restart") {
+		t.Errorf("a folder that is a file: %q, %v", note, err)
+	}
+}
+
+// Messages that make no sense are refused by name, and nothing of them is taken.
+func TestHostileMessages(t *testing.T) {
+	s, _ := start(t, "a", "", "b")
+	long := strings.Repeat("x", replica.NameMost+1)
+	for _, body := range []string{"", "{", "[]", `{"seen":"x"}`, `{"seen":-1}`} {
+		for _, h := range []group.Handler{s.onHello, s.onPull, s.onGone} {
+			if out, err := h(context.Background(), group.Sender{Name: "b"}, []byte(body)); err == nil && len(out) > 4096 {
+				t.Errorf("%q: %d bytes", body, len(out))
+			}
+		}
+	}
+	if n := s.Counters.Refused.Load(); n < 10 {
+		t.Errorf("%d counted", n)
+	}
+	good := replica.Entry{Kind: replica.Word, Name: "r", Dot: replica.Dot{Life: "l", Count: 1}}
+	for what, change := range map[string]func(*replica.Piece){
+		"kind": func(p *replica.Piece) { p.Entries[1].Kind = "other" }, "name": func(p *replica.Piece) { p.Entries[1].Name = long },
+		"no name": func(p *replica.Piece) { p.Entries[1].Name = "" }, "count": func(p *replica.Piece) { p.Entries[1].Count = 0 },
+		"life": func(p *replica.Piece) { p.Life = "" }, "member": func(p *replica.Piece) { p.Entries[1].Member = long },
+		"from": func(p *replica.Piece) { p.From.Name = "z" },
+	} {
+		p := replica.Piece{Life: "l", Entries: []replica.Entry{good, good}, Done: true}
+		change(&p)
+		if _, err := s.copy.Take(&replica.Pull{}, p); err == nil || s.copy.Len() > 0 {
+			t.Errorf("%s: %v, %d entries", what, err, s.copy.Len())
+		}
+	}
+	if _, err := s.copy.Say(replica.Entry{Kind: replica.Word, Name: long}); err == nil {
+		t.Error("a name that is too long was said")
+	}
+}
