--- a/internal/lab/groups/groups_test.go
+++ b/internal/lab/groups/groups_test.go
@@ -95,7 +95,7 @@
 			for _, c := range r.Report.CrashNotes {
 				t.Errorf("%s", c)
 			}
-			if len(r.Works) != s.Machines || r.Ended == 0 {
+			if len(r.Works) != s.Machines || s.Machines > 0 && r.Ended == 0 {
 				t.Errorf("%d machines were worked on; the plan: %s", len(r.Works), r.Last)
 			}
 		})
