Warn the others of a group of workers at which jobs fail

Need: what each dispatcher must learn alone grows with their number. A bad worker was met by each, and the job that may not be repeated was lost each time.

The module takes it as half of a failure of its own (new event Warned): the worker is distrusted, so gets single trials of jobs that may be repeated, until one success; then no such word on it is heeded for 10 s. It narrows alone: at most a third are distrusted, as ever.

--- a/cmd/birchfork/lab.go
+++ b/cmd/birchfork/lab.go
@@ -21,6 +21,7 @@
 
 	"birchfork/internal/lab"
 	"birchfork/internal/lab/baseline"
+	"birchfork/internal/lab/groups"
 	"birchfork/internal/lab/planted"
 	"birchfork/internal/lab/report"
 	"birchfork/internal/lab/scenario"
@@ -83,6 +84,7 @@
 	day
 	Policy   string `help:"Who decides: rules (the mechanism), random, round-robin or least." default:"rules"`
 	Operator string `help:"The operator's file that the dispatchers serve by." placeholder:"FILE"`
+	Group    bool   `help:"The day's dispatchers are a group (docs/replication.md)."`
 	Plant    string `help:"Run a small dispatcher with this fault instead, to see the judge catch it." placeholder:"FAULT"`
 	JSON     string `help:"Keep the result in this file." placeholder:"FILE" name:"json"`
 	HTML     string `help:"Draw the result as a page in this file." placeholder:"FILE" name:"html"`
@@ -108,6 +110,16 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	o := lab.Options{Scenario: s, Seed: l.Seed, Storm: l.Storm, Policy: l.Policy, Planted: l.Plant, Launch: launch, Ceiling: l.Ceiling}
+	if l.Group {
+		if l.Operator != "" || l.Policy != lab.PolicyRules || l.Plant != "" {
+			return errors.New("--group makes an operator's file of its own: it goes with none of --operator, --policy and --plant")
+		}
+		done, err := groups.Plain(&o)
+		if err != nil {
+			return fmt.Errorf("--group: %w", err)
+		}
+		defer done()
+	}
 	bar := progress(out.err, &o)
 	r, err := lab.Run(ctx, o)
 	bar()
--- /dev/null
+++ b/internal/lab/groups/plain.go
@@ -0,0 +1,60 @@
+package groups
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"birchfork/internal/council"
+	"birchfork/internal/lab"
+	"birchfork/internal/outage"
+)
+
+// Plain makes a day's dispatchers a group, with no faults between them, until close is called.
+func Plain(o *lab.Options) (done func(), err error) {
+	n := o.Scenario.Dispatchers
+	if n < membersLeast {
+		return nil, fmt.Errorf("%d dispatchers are no group; at least %d", n, membersLeast)
+	}
+	dir, err := os.MkdirTemp("", "birchfork-group-")
+	if err != nil {
+		return nil, fmt.Errorf("a folder for the members: %w", err)
+	}
+	done = func() { os.RemoveAll(dir) }
+	links, err := lab.FreeAddresses(n)
+	if err != nil {
+		return nil, errors.Join(err, os.RemoveAll(dir))
+	}
+	var b strings.Builder
+	b.WriteString("[group]\nname = \"lab\"\n")
+	for i, at := range links {
+		fmt.Fprintf(&b, "[[group.member]]\nname = \"d%d\"\nlink = %q\nvoter = %t\n", i, at, i < voters(n))
+	}
+	file := filepath.Join(dir, "operator.toml")
+	if err := os.WriteFile(file, []byte(b.String()), 0o600); err != nil {
+		return nil, errors.Join(err, os.RemoveAll(dir))
+	}
+	launch := o.Launch
+	o.Launch = func(config string) *exec.Cmd {
+		cmd := launch(config)
+		cmd.Args = append(cmd.Args, "--operator", file)
+		if cmd.Env == nil {
+			cmd.Env = os.Environ()
+		}
+		cmd.Env = append(cmd.Env, "TMPDIR="+dir)
+		return cmd
+	}
+	o.Beside = func(ctx context.Context, _ *lab.Stage) {
+		for c := (&council.Client{At: links[:1]}); ctx.Err() == nil; sleep(ctx, 100*time.Millisecond) {
+			if r, err := c.Ask(ctx, council.Call{Found: true}); err == nil && r.Code == outage.Yes {
+				return
+			}
+		}
+	}
+	return done, nil
+}
--- a/internal/node/group.go
+++ b/internal/node/group.go
@@ -36,13 +36,14 @@
 		}
 	}
 	s, err := spread.New(spread.Options{
-		Group: g.Name, Self: n.config.Name, Folder: g.Folder, Peers: others, Changed: n.bySpread, Say: n.byHand,
+		Group: g.Name, Self: n.config.Name, Folder: g.Folder, Peers: others, Changed: n.bySpread, Say: n.byHand, Warned: n.store.Warned,
 		Log: n.log.WithField("part", "group"),
 	})
 	if err != nil {
 		return fmt.Errorf("group.folder: %w", err)
 	}
 	n.copies, o.Guest = s, s
+	n.store.OnWarn(s.Warn)
 	n.part = council.Start(o)
 	return nil
 }
--- a/internal/spread/staff.go
+++ b/internal/spread/staff.go
@@ -98,6 +98,6 @@
 	c := &s.Counters
 	return map[string]int64{
 		"rounds": c.Rounds.Load(), "pieces": c.Pieces.Load(), "taken": c.Taken.Load(), "dropped": c.Dropped.Load(),
-		"refused": c.Refused.Load(), "unkept": c.Unkept.Load(),
+		"refused": c.Refused.Load(), "unkept": c.Unkept.Load(), "warnings": c.Warnings.Load(),
 	}
 }
--- a/internal/store/counters.go
+++ b/internal/store/counters.go
@@ -23,6 +23,7 @@
 	Rejected                atomic.Int64 // ... that a worker could not use
 	Unreadable              atomic.Int64 // connections that ended within a request, by an error of net/http's or a close
 	TurnedAway              atomic.Int64 // answered 503 before the module: a limit was reached
+	Warnings                atomic.Int64 // that jobs fail at a worker, from others of the group
 	Overdue                 atomic.Int64 // answered by the front, as the module had not in time or we had to stop
 	Unwritten               atomic.Int64 // answers that could not be written whole
 
@@ -72,7 +73,7 @@
 	f := logrus.Fields{}
 	for name, v := range map[string]*atomic.Int64{
 		"taken": &c.Taken, "served": &c.Served, "refused": &c.Refused, "failed": &c.Failed, "gone": &c.Gone,
-		"bad_requests": &c.BadRequests, "turned_away": &c.TurnedAway, "overdue": &c.Overdue,
+		"bad_requests": &c.BadRequests, "turned_away": &c.TurnedAway, "overdue": &c.Overdue, "warnings": &c.Warnings,
 		"bad_heads": &c.BadHeads, "bad_framing": &c.BadFraming, "bad_sizes": &c.BadSizes, "bad_bodies": &c.BadBodies,
 		"bad_classes": &c.BadClasses, "bad_methods": &c.BadMethods, "bad_ids": &c.BadIDs, "rejected": &c.Rejected, "unreadable": &c.Unreadable,
 		"unwritten": &c.Unwritten, "sent": &c.Sent, "dials": &c.Dials, "reused": &c.Reused,
--- a/internal/store/list.go
+++ b/internal/store/list.go
@@ -27,17 +27,18 @@
 
 // workerView is what the store itself remembers of a worker.
 type workerView struct {
-	entry   Entry      // as it was told last
-	started rules.Time // since on the module's clock
-	out     cause      // why nothing goes there, whatever the list says
-	handAt  time.Time  // when the operators spoke of it last
-	left    rules.Time // when the list told that it has gone
-	back    rules.Time // when it was put back last, by hand or by the group
-	hand    int        // how often it was left out: what was ordered before does not go out after
-	leased  bool       // of a plan under way: sent to only under the group's lease
-	flying  int        // attempts that have not ended
-	mayRun  time.Time  // until then one may run there that we know nothing of any more
-	moved   []string   // hosts that it was at when something of ours ran there
+	entry    Entry      // as it was told last
+	started  rules.Time // since on the module's clock
+	out      cause      // why nothing goes there, whatever the list says
+	handAt   time.Time  // when the operators spoke of it last
+	left     rules.Time // when the list told that it has gone
+	back     rules.Time // when it was put back last, by hand or by the group
+	hand     int        // how often it was left out: what was ordered before does not go out after
+	leased   bool       // of a plan under way: sent to only under the group's lease
+	flying   int        // attempts that have not ended
+	mayRun   time.Time  // until then one may run there that we know nothing of any more
+	failures int        // of jobs, in a row
+	moved    []string   // hosts that it was at when something of ours ran there
 }
 
 // ready says whether something may be sent there, by the list alone.
--- a/internal/store/request.go
+++ b/internal/store/request.go
@@ -331,6 +331,7 @@
 	r, s := a.r, a.r.s
 	s.Counters.ended(result)
 	s.landed(a, result)
+	s.failedInARow(a.worker, result)
 	if result == rules.OK {
 		r.end(Order{Kind: Served, Result: answer})
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -65,7 +65,8 @@
 	beat      time.Time // when the process last showed that it runs; zero: nobody tells
 	restUntil time.Time // nothing is sent before: a stall has just ended
 
-	guard       Guard            // the group's settled word
+	guard       Guard // the group's settled word
+	onWarn      func(worker string)
 	leased      []rules.WorkerID // workers of plans under way
 	away        []rules.WorkerID // ... and those that are taken out
 	leaseUntil  time.Time        // of the group's lease
--- /dev/null
+++ b/internal/store/warn.go
@@ -0,0 +1,41 @@
+package store
+
+import "birchfork/rules"
+
+// warnFrom is how many jobs in a row have to fail at a worker for others to hear of it. One would be told with every chance
+// failure; figures for one to three are in docs/results.md.
+const warnFrom = 2
+
+// OnWarn sets who hears that jobs fail at a worker, in a row and whatever their kind. It is called with the store's lock held and
+// must not call back.
+func (s *Store) OnWarn(f func(worker string)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onWarn = f
+}
+
+// Warned takes over that jobs fail at a worker, by another dispatcher's word: the module decides what that is worth.
+func (s *Store) Warned(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if id, ok := s.names.FindWorker(name); ok {
+		s.Counters.Warnings.Add(1)
+		s.handle(s.now(), &rules.Event{Kind: rules.Warned, Worker: id})
+	}
+}
+
+// failedInARow counts. The lock is held.
+func (s *Store) failedInARow(id rules.WorkerID, result rules.Result) {
+	if s.onWarn == nil || int(id) >= len(s.workers) {
+		return
+	}
+	w := &s.workers[id]
+	switch result {
+	case rules.OK:
+		w.failures = 0
+	case rules.Failed, rules.Disconnected:
+		if w.failures++; w.failures >= warnFrom {
+			s.onWarn(s.names.WorkerName(id))
+		}
+	}
+}
--- a/rules/interface.go
+++ b/rules/interface.go
@@ -115,6 +115,7 @@
 	Heard    // Peer, Note
 	TakenOut // Worker: the operators leave it out, whatever the list says; it need not be listed
 	PutBack  // Worker, Elapsed: it may serve again since then; it was started anew while it was out
+	Warned   // Worker: jobs fail at it, by another dispatcher's word
 	Retuned  // Settings, Classes, Tenants: other settings hold for requests that come from now on
 )
 
--- a/rules/random_test.go
+++ b/rules/random_test.go
@@ -378,7 +378,7 @@
 	case n < 94 && r.IntN(4) == 0:
 		return g.retuned()
 	case n < 94:
-		e := Event{Kind: TakenOut + EventKind(r.IntN(2)), Worker: WorkerID(r.IntN(g.workers + 2))}
+		e := Event{Kind: TakenOut + EventKind(r.IntN(3)), Worker: WorkerID(r.IntN(g.workers + 2))}
 		if e.Kind == PutBack {
 			e.Elapsed = Time(r.IntN(2)*r.IntN(1000)) * ms
 		}
--- a/rules/state.go
+++ b/rules/state.go
@@ -360,6 +360,7 @@
 	fails    float64
 	outcomes float64
 	distrust bool
+	warnedAt Time // by another dispatcher last; 0: never
 	silent   bool
 	ringed   bool // has points on the ring, or will have
 	trialAt  Time
@@ -599,6 +600,8 @@
 		d.retune(e)
 	case TakenOut, PutBack:
 		d.byHand(e)
+	case Warned:
+		d.warned(e)
 	case TimerFired:
 		if d.armedAt <= d.now {
 			d.armedAt = never
@@ -877,6 +880,30 @@
 	}
 }
 
+// heedAgain is how long another dispatcher's word on a worker that has proved good for us since is not heeded again: a worker may
+// fail for one dispatcher alone.
+const heedAgain = 10 * Second
+
+// warned distrusts a worker that fails for another dispatcher: single trials, of jobs that may be repeated, until one succeeds for
+// us. What we saw ourselves counts for more; what all share is no one's fault, so that a third are distrusted at the most.
+func (d *Dispatcher) warned(e *Event) {
+	if e.Worker < 0 {
+		return
+	}
+	w := d.meet(e.Worker)
+	if w.silent || w.distrust || w.warnedAt > 0 && d.now-w.warnedAt < heedAgain {
+		return
+	}
+	if !w.isReady() || d.doubted >= len(d.ready)/3 {
+		return
+	}
+	w.warnedAt, w.distrust = d.now, true
+	w.fails, w.outcomes = 2*failMargin, 0 // so much that one success ends it
+	d.doubted++
+	d.spaceTrials(w)
+	d.repick()
+}
+
 // paid says that a worker that was put back has got a job, or gets none, as it was taken out again.
 func (d *Dispatcher) paid(w *worker) {
 	d.owing = slices.DeleteFunc(d.owing, func(o *worker) bool { return o == w || o.out })
