--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -104,6 +104,7 @@
 		{"POST /-/runners/s-1/disable?why=x", 200, "yes", "out s-1"},
 		{"GET /-/runners/s-1/disable", 405, "takes POST", ""},
 		{"POST /-/runners/nobody/disable", 404, "no runner of this id", "out nobody"},
+		{"POST /-/runners/unkept/disable", 200, "yes; it is not kept", "out unkept"},
 		{"POST /-/runners/full/disable", 503, "no space", "out full"},
 		{"POST /-/runners//disable", 400, "missing", ""},
 		{"POST /-/runners/%zz/disable", 400, "", ""},
--- a/internal/lab/fleet/worker.go
+++ b/internal/lab/fleet/worker.go
@@ -58,6 +58,7 @@
 	timer    *time.Timer
 	draining bool
 	errShare float64
+	errFor   map[int]bool  // dispatchers all of whose jobs fail
 	served   int           // jobs begun
 	did      time.Duration // work done, on a core of speed 1
 	falls    int
@@ -208,6 +209,16 @@
 	w.errShare = share
 }
 
+// ErrFor makes all jobs of one dispatcher fail at once, or ends that.
+func (w *Worker) ErrFor(dispatcher int, on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.errFor == nil {
+		w.errFor = map[int]bool{}
+	}
+	w.errFor[dispatcher] = on
+}
+
 // Cut makes the worker silent towards one dispatcher, or heals that.
 func (w *Worker) Cut(dispatcher int, on bool) {
 	w.mu.Lock()
@@ -483,7 +494,7 @@
 		w.cfg.Ledger.Attempt(a)
 	}
 	j := &Job{Work: order.Work.Seconds(), Slots: order.Slots, Memory: order.Memory}
-	j.Fails = w.errShare > 0 && w.cfg.Fails() < w.errShare
+	j.Fails = w.errFor[c.k.dispatcher] || w.errShare > 0 && w.cfg.Fails() < w.errShare
 	if w.draining || order.Kind != "" && order.Kind != w.spec.Kind {
 		c.turnAway()
 		return
--- a/internal/lab/groups/groups.go
+++ b/internal/lab/groups/groups.go
@@ -52,11 +52,12 @@
 	Ring   = "ring"   // each member reaches the one before it and the one after it alone
 	Far    = "far"    // nothing passes between the member and the workers
 	Unlist = "unlist" // nothing passes between the member and discovery
+	Spoilt = "spoilt" // all jobs of the member fail at the first worker, those of others do not
 	Down   = "down"   // the worker of that number, no member, is killed and starts again cold
 )
 
 // Kinds are all kinds of faults that a storm draws.
-var Kinds = []string{Cut, Deaf, Mute, Apart, Flap, Reset, Slow, Narrow, Torn, Stop, Kill, Wipe, Old, Alien, Term, Renew, Halves, Thirds, Ring, Far, Unlist, Down}
+var Kinds = []string{Cut, Deaf, Mute, Apart, Flap, Reset, Slow, Narrow, Torn, Stop, Kill, Wipe, Old, Alien, Term, Renew, Halves, Thirds, Ring, Far, Unlist, Spoilt, Down}
 
 // Fault is one fault of the timetable.
 type Fault struct {
@@ -550,6 +551,11 @@
 		g.downs[at].until = l.Now()
 		g.mu.Unlock()
 		g.stage.Fleet().Up(f.Member)
+	case Spoilt:
+		w := g.stage.Fleet().Workers[0]
+		w.ErrFor(f.Member, true)
+		sleep(ctx, f.For)
+		w.ErrFor(f.Member, false)
 	case Flap:
 		f.Kind = Cut
 		for end := time.Now().Add(f.For); ctx.Err() == nil && time.Now().Before(end); sleep(ctx, flapEvery) {
--- a/internal/lab/groups/judge.go
+++ b/internal/lab/groups/judge.go
@@ -17,10 +17,11 @@
 	BudgetRule = "budget"  // never more machines with staff, or not warm yet, than the plan allows
 	OrderRule  = "order"   // all answers tell one history
 	GoesOnRule = "goes on" // the plan is through at the end of the day
+	UseRule    = "use"     // a worker that fails for one member alone is in use at the others
 )
 
 // Rules are their names in their order.
-var Rules = []string{ClearRule, BudgetRule, OrderRule, GoesOnRule, WordsRule}
+var Rules = []string{ClearRule, BudgetRule, OrderRule, GoesOnRule, WordsRule, UseRule}
 
 // judge judges the group's rules by what workers and staff saw.
 func (g *rig) judge(s *lab.Stage) []judge.Breach {
@@ -31,12 +32,46 @@
 	out = append(out, orderBreaches(g.seen)...)
 	out = append(out, undoneBreaches(g.seen, g.works)...)
 	out = append(out, g.wordBreaches(s)...)
+	for _, f := range g.result.Faults {
+		if f.Kind == Spoilt && len(g.result.Faults) == 1 { // else something else may keep them away
+			out = append(out, useBreaches(s.Ledger().Attempts(), f.Member, g.result.Origin+f.At, g.result.Origin+f.At+f.For)...)
+		}
+	}
 	if g.o.Machines > 0 && g.result.Ended == 0 {
 		out = append(out, judge.Breach{Rule: GoesOnRule, Kind: "not through", At: s.Ledger().Now(), Who: -1, Lines: []string{g.result.Last}})
 	}
 	return out
 }
 
+// What the others of a member for whom a worker fails are to send there after a while: by the first warning they may try it with
+// single jobs for some seconds.
+const (
+	settles = 3 * time.Second
+	useful  = 0.25 // of what they send to the mean worker
+)
+
+// useBreaches are members that leave the first worker alone, as it fails for another one.
+func useBreaches(attempts []*judge.Attempt, spoilt int, from, to time.Duration) (out []judge.Breach) {
+	all, there := map[int]int{}, map[int]int{}
+	workers := map[int]bool{}
+	for _, a := range attempts {
+		if a.Last < from+settles || a.Last >= to || a.Dispatcher == spoilt {
+			continue
+		}
+		workers[a.Worker] = true
+		if all[a.Dispatcher]++; a.Worker == 0 {
+			there[a.Dispatcher]++
+		}
+	}
+	for d, n := range all {
+		if mean := float64(n) / float64(len(workers)); float64(there[d]) < useful*mean {
+			out = append(out, judge.Breach{Rule: UseRule, Kind: "left alone", At: to, Who: d, Lines: []string{
+				fmt.Sprintf("%d jobs went to the worker that fails for dispatcher %d alone, %.1f to the mean one", there[d], spoilt, mean)}})
+		}
+	}
+	return out
+}
+
 // clearBreaches are attempts at machines that staff had.
 func clearBreaches(attempts []*judge.Attempt, works []Work) (out []judge.Breach) {
 	for _, w := range works {
--- a/internal/plant/lean.go
+++ b/internal/plant/lean.go
@@ -20,6 +20,7 @@
 	WordsStay     = ""
 	InWins        = ""
 	Reappears     = ""
+	LeavesAlone   = ""
 	DiskFails     = ""
 )
 
--- a/internal/plant/plant.go
+++ b/internal/plant/plant.go
@@ -21,13 +21,14 @@
 	WordsStay     = "words-stay"     // no member tells another its words
 	InWins        = "in-wins"        // of words that did not see each other "back" counts
 	Reappears     = "reappears"      // an entry that was seen and is gone is taken again
+	LeavesAlone   = "leaves-alone"   // a worker that others warn of gets nothing any more
 	DiskFails     = "disk-fails"     // no fault of ours: some seconds after its start the disk takes nothing any more
 )
 
 // Names are all faults of ours.
 var Names = []string{
 	NoLease, LongLease, FewWords, NoBudget, DeadUncounted, OwnOrder, ActsTwice, ForgetsOut, SeesAnyway, NeverClear, SilentAnswer,
-	IgnoresBusy, WordsStay, InWins, Reappears,
+	IgnoresBusy, WordsStay, InWins, Reappears, LeavesAlone,
 }
 
 var on string
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -215,3 +215,48 @@
 		}
 	})
 }
+
+// Whatever comes as a piece is taken whole or refused, and what is held stays in order.
+func FuzzPieces(f *testing.F) {
+	seed := New("l")
+	seed.Say(Entry{Kind: Word, Name: "r", Out: true})
+	seed.Say(Entry{Kind: Word, Name: "r"})
+	raw, err := json.Marshal(seed.News(nil, Mark{}, 9))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(raw, []byte(`{"life":"x","entries":[{"kind":"word","name":"r","life":"y","count":9,"saw":{"l":1}}],"seen":{"y":1}}`))
+	f.Fuzz(func(t *testing.T, first, second []byte) {
+		c := New("me")
+		for _, raw := range [][]byte{first, second, first} {
+			var p Piece
+			if json.Unmarshal(raw, &p) != nil {
+				continue
+			}
+			was := c.Len()
+			if _, err := c.Take(&Pull{}, p); err != nil && c.Len() != was {
+				t.Fatalf("half of a piece was taken: %v", err)
+			}
+			if c.Len() > was+len(p.Entries) {
+				t.Fatalf("%d entries of %d", c.Len()-was, len(p.Entries))
+			}
+		}
+		n := 0
+		for _, name := range c.Names(Word) {
+			all := c.Get(Word, name)
+			n += len(all)
+			for i, e := range all {
+				if c.find(e.Dot) == nil || i > 0 && e.Dot == all[i-1].Dot {
+					t.Fatalf("%+v", all)
+				}
+			}
+		}
+		if n != c.Len() {
+			t.Fatalf("%d entries are named, %d counted", n, c.Len())
+		}
+		c.Drop(c.Dots(c.Differ(nil)))
+		if c.Len() > 0 || c.Sum() != New("").Sum() {
+			t.Fatalf("%d left", c.Len())
+		}
+	})
+}
--- a/internal/store/warn.go
+++ b/internal/store/warn.go
@@ -1,6 +1,9 @@
 package store
 
-import "birchfork/rules"
+import (
+	"birchfork/internal/plant"
+	"birchfork/rules"
+)
 
 // warnFrom is how many jobs in a row have to fail at a worker for others to hear of it. One would be told with every chance
 // failure; figures for one to three are in docs/results.md.
@@ -20,6 +23,10 @@
 	defer s.mu.Unlock()
 	if id, ok := s.names.FindWorker(name); ok {
 		s.Counters.Warnings.Add(1)
+		if plant.On(plant.LeavesAlone) {
+			s.leaveOut(id, byHand)
+			return
+		}
 		s.handle(s.now(), &rules.Event{Kind: rules.Warned, Worker: id})
 	}
 }
