--- a/internal/lab/groups/groups.go
+++ b/internal/lab/groups/groups.go
@@ -94,6 +94,7 @@
 	First   time.Duration // from the plan's running until staff had a machine
 	Silence time.Duration // the longest time without a settled answer
 	Faults  []Fault
+	Reached []time.Duration // from the yes to a word "out" until the last member told of it
 }
 
 // rig is one run.
@@ -163,6 +164,7 @@
 	g.result.Faults = append(slices.Clone(o.Faults), g.draw()...)
 	rep, err := lab.Run(ctx, lab.Options{
 		Scenario: g.day, Seed: o.Seed, Policy: lab.PolicyRules, Beside: g.play, Judge: g.judge, WorkerAt: g.by(Far), ListAt: g.by(Unlist),
+		UpWithin: o.For, // without a majority a member without its disk sends nothing, and so does not serve
 		Launch: func(config string) *exec.Cmd {
 			name := strings.TrimSuffix(filepath.Base(config), ".json")
 			fault := o.Plant
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -55,6 +55,9 @@
 	Beside func(context.Context, *Stage) // plays beside the day's troubles, from its start; its context ends with the day
 	Judge  func(*Stage) []judge.Breach   // what the rules are beside the four; both may be nil
 
+	// UpWithin is how long a dispatcher may take to serve, where that is longer than usual: it may have to wait for others.
+	UpWithin time.Duration
+
 	// WorkerAt and ListAt are by which address a dispatcher reaches one of a worker or of discovery; nil: by itself.
 	WorkerAt, ListAt func(dispatcher int, address string) string
 
@@ -75,6 +78,7 @@
 	beats       report.Histogram
 	beside      func(context.Context, *Stage)
 	listAt      func(dispatcher int, address string) string
+	upWithin    time.Duration
 }
 
 // Run plays a day. A run that ctx ends early is reported as far as it came. An error means that nothing could be played.
@@ -82,7 +86,7 @@
 	r := &run{
 		day: o.Scenario.Draw(o.Seed, o.Storm), ledger: judge.NewLedger(), launch: o.Launch, spawner: newSpawner(),
 		lag: report.NewHistogram(), beats: report.NewHistogram(), beside: o.Beside,
-		listAt: o.ListAt,
+		listAt: o.ListAt, upWithin: o.UpWithin,
 	}
 	defer close(r.spawner.quit)
 	dir, err := os.MkdirTemp("", "birchfork-lab-")
