Give warnings a package of their own, and log the counters that the docs promise

Found in a review of the whole change: internal/spread did two jobs, copies and warnings; docs/replication.md promised counters in the log that nothing wrote; 100,000 words would not have fitted the 8 MB of an answer to staff; `kept` in `--json` told why nothing is.

internal/warning tells and hears of workers at which jobs fail; council lends its links to any number of guests. The log has `group_words_...` and `group_warnings_...`. 10,000 words at the most, and `unkept` says why. A dispatcher without a group has none of it, and no goroutine.

--- a/cmd/birchfork/words.go
+++ b/cmd/birchfork/words.go
@@ -81,8 +81,8 @@
 	if !r.CaughtUp {
 		fmt.Fprintln(w, "it has just started and has not heard of enough others")
 	}
-	if r.Kept != "" {
-		fmt.Fprintf(w, "it keeps nothing over a restart: %s\n", r.Kept)
+	if r.Unkept != "" {
+		fmt.Fprintf(w, "it keeps nothing over a restart: %s\n", r.Unkept)
 	}
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "RUNNER\tWORD\tCONFLICT\tSAID AT, BY THAT MEMBER'S CLOCK")
--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -61,7 +61,7 @@
 	Deadline   time.Duration                  // the longest of a class: no attempt runs for longer
 	Arrive     time.Duration                  // from an attempt's order until its last byte has come, or never comes
 	Warm       time.Duration                  // until a started runner is warm
-	Guest      Guest                          // has our links too; nil: nobody
+	Guests     []Guest                        // have our links too
 	Log        logrus.FieldLogger
 }
 
@@ -212,8 +212,8 @@
 		Group: c.o.Group.Name, Self: c.o.Self, Peers: c.o.Group.Peers, Who: c.who, Old: c.old, Lost: c.lost, Log: c.o.Log,
 	})
 	c.handle(v.links)
-	if c.o.Guest != nil {
-		c.o.Guest.Enter(v.links)
+	for _, g := range c.o.Guests {
+		g.Enter(v.links)
 	}
 	c.mu.Lock()
 	c.voice = v
@@ -253,8 +253,8 @@
 		c.handOver()
 	}
 	quit()
-	if c.o.Guest != nil {
-		c.o.Guest.Leave()
+	for _, g := range c.o.Guests {
+		g.Leave()
 	}
 	v.links.Close()
 	loops.Wait()
--- a/internal/node/group.go
+++ b/internal/node/group.go
@@ -7,6 +7,7 @@
 
 	"birchfork/internal/council"
 	"birchfork/internal/spread"
+	"birchfork/internal/warning"
 )
 
 // groupsLinked says that this build has what groups need.
@@ -36,14 +37,16 @@
 		}
 	}
 	s, err := spread.New(spread.Options{
-		Group: g.Name, Self: n.config.Name, Folder: g.Folder, Peers: others, Changed: n.bySpread, Say: n.byHand, Warned: n.store.Warned,
+		Group: g.Name, Self: n.config.Name, Folder: g.Folder, Peers: others, Changed: n.bySpread, Say: n.byHand,
 		Log: n.log.WithField("part", "group"),
 	})
 	if err != nil {
 		return fmt.Errorf("group.folder: %w", err)
 	}
-	n.copies, o.Guest = s, s
-	n.store.OnWarn(s.Warn)
+	w := warning.New(others, n.store.Warned)
+	n.store.OnWarn(w.Warn)
+	n.copies, o.Guests = s, []council.Guest{s, w}
+	n.counts = []func() map[string]int64{s.Fields, w.Fields}
 	n.part = council.Start(o)
 	return nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log"
+	"maps"
 	"math"
 	"net"
 	"net/http"
@@ -115,12 +116,13 @@
 	server    *http.Server
 	served    chan error
 	address   net.Addr
-	door      *admin.Door          // nil: there is none
-	part      part                 // in the operators' group; nil: they have none
-	copies    copies               // of what the group's members keep in common; nil as well
-	quit      context.CancelFunc   // ends the watch, the ticking and the sharing
-	listening chan struct{}        // closed once clients can connect
-	listener  *wire.SharedListener // nil: nobody may listen beside us
+	door      *admin.Door               // nil: there is none
+	part      part                      // in the operators' group; nil: they have none
+	copies    copies                    // of what the group's members keep in common; nil as well
+	counts    []func() map[string]int64 // further counters of the group, for the log
+	quit      context.CancelFunc        // ends the watch, the ticking and the sharing
+	listening chan struct{}             // closed once clients can connect
+	listener  *wire.SharedListener      // nil: nobody may listen beside us
 	sharing   sync.WaitGroup
 
 	process  *handover.Process // what other processes of this dispatcher know of us, and we of them
@@ -135,7 +137,6 @@
 	Say(runner string, out bool, at int64) (note string, err error)
 	Local(handover.Words) // what this dispatcher's processes were told
 	CaughtUp() bool       // with the others, or it has waited long enough
-	Fields() map[string]int64
 	Close()
 }
 
@@ -344,9 +345,14 @@
 // tell logs the counters.
 func (n *node) tell(what string) {
 	open, idle := n.pool.Open()
-	var group logrus.Fields
+	group := logrus.Fields{}
 	if n.part != nil {
-		group = n.part.Fields()
+		maps.Copy(group, n.part.Fields())
+	}
+	for _, fields := range n.counts {
+		for name, count := range fields() {
+			group["group_"+name] = count
+		}
 	}
 	n.log.WithFields(n.store.Counters.Fields()).WithFields(n.store.LimitFields()).WithFields(group).WithFields(logrus.Fields{
 		"open": n.store.Pending(), "runner_conns": open, "runner_conns_idle": idle,
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -77,11 +77,12 @@
 	Out    bool   `json:"out"`
 }
 
-// Bounds. Words are never dropped for want of room: one more than that is not taken from staff.
+// Bounds. Words are never dropped for want of room: one more than that is not taken from staff. All of them fit an answer to staff,
+// which has 8 MB at the most.
 const (
 	NameMost  = 256 // bytes
 	lifeMost  = 64
-	WordsMost = 100_000
+	WordsMost = 10_000
 	livesMost = 100_000
 	buckets   = 64 // of digests
 )
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -40,7 +40,6 @@
 	pathHello = "/group/copies/hello"
 	pathPull  = "/group/copies/pull"
 	pathGone  = "/group/copies/gone"
-	pathWarn  = "/group/warn"
 	PathStaff = "/group/words"
 )
 
@@ -51,8 +50,6 @@
 	Peers       []string // the other members
 	// Changed puts what staff's words on a runner come to now in force at this dispatcher, and returns which word that was there.
 	Changed func(runner string, out bool) int64
-	// Warned hears that jobs fail at runners for another member; nil: nobody does.
-	Warned func(runner string)
 	// Say says a word as the operators' door does.
 	Say func(runner string, out bool) (note string, err error)
 	Log logrus.FieldLogger
@@ -60,7 +57,7 @@
 
 // Counters count what passes.
 type Counters struct {
-	Rounds, Pieces, Taken, Dropped, Refused, Unkept, Warnings atomic.Int64
+	Rounds, Pieces, Taken, Dropped, Refused, Unkept atomic.Int64
 }
 
 // Spread is one member's part, until Close.
@@ -79,24 +76,22 @@
 	heard   map[string]replica.Seen
 	pulls   map[string]*replica.Pull
 	asking  map[string]bool
-	caught  map[string]bool      // members that have told all they had
-	known   map[string]int64     // words of this dispatcher's processes that are in the copy, or were before it
-	before  map[string]bool      // runners that were out before, of which the copy knew nothing
-	warned  map[string]time.Time // runners that others were warned of, and when last
-	settled bool                 // words from before are told apart from new ones
+	caught  map[string]bool  // members that have told all they had
+	known   map[string]int64 // words of this dispatcher's processes that are in the copy, or were before it
+	before  map[string]bool  // runners that were out before, of which the copy knew nothing
+	settled bool             // words from before are told apart from new ones
 
 	links *group.Links // nil: this process has no place in the group
 	quit  context.CancelFunc
 	done  chan struct{}
 	news  chan struct{}
 	meet  chan string
-	warn  chan string
 }
 
 // New reads the disk, so that what it has binds before anything is sent. Where another process of this dispatcher has it that one
 // is to tell, until it leaves.
 func New(o Options) (*Spread, error) {
-	s := &Spread{o: o, began: time.Now(), warned: map[string]time.Time{}, news: make(chan struct{}, 1), meet: make(chan string, 16), warn: make(chan string, warnMost)}
+	s := &Spread{o: o, began: time.Now(), news: make(chan struct{}, 1), meet: make(chan string, 16)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.open(); err != nil && !errors.Is(err, keep.ErrTaken) {
@@ -147,9 +142,6 @@
 	l.Handle(pathPull, s.onPull)
 	l.Handle(pathGone, s.onGone)
 	l.HandleStaff(PathStaff, s.onStaff)
-	if s.o.Warned != nil {
-		l.Handle(pathWarn, s.onWarn)
-	}
 	ctx, quit := context.WithCancel(context.Background())
 	s.quit, s.done = quit, make(chan struct{})
 	go s.run(ctx, s.done)
@@ -348,9 +340,6 @@
 			case name := <-s.meet:
 				to(name)
 				continue
-			case runner := <-s.warn:
-				s.tellWarning(runner)
-				continue
 			}
 		} else {
 			n = fan
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -295,22 +295,3 @@
 		t.Error("a name that is too long was said")
 	}
 }
-
-// A warning reaches the others, a runner's next one not at once; nonsense does not.
-func TestWarningsReachTheOthers(t *testing.T) {
-	a, _ := start(t, "a", "", "b")
-	b, _ := start(t, "b", "", "a")
-	heard := make(chan string, 9)
-	b.o.Warned = func(runner string) { heard <- runner }
-	part := join(t, a, b)
-	defer part()
-	for _, runner := range []string{"r", "r", "q"} {
-		a.Warn(runner)
-	}
-	if first, second := <-heard, <-heard; first != "r" || second != "q" || len(heard) > 0 {
-		t.Errorf("heard of %s, %s", first, second)
-	}
-	if _, err := b.onWarn(context.Background(), group.Sender{Name: "a"}, []byte(`{"runner":""}`)); err == nil {
-		t.Error("a warning of nobody was taken")
-	}
-}
--- a/internal/spread/staff.go
+++ b/internal/spread/staff.go
@@ -23,8 +23,8 @@
 	Text     string           `json:"text,omitempty"`
 	Wrong    bool             `json:"wrong,omitempty"`
 	CaughtUp bool             `json:"caught_up"`
-	Kept     string           `json:"kept,omitempty"` // why nothing is kept over a restart; empty: it is
-	Digest   string           `json:"digest"`         // the same at members that have the same words
+	Unkept   string           `json:"unkept,omitempty"` // why nothing is kept over a restart; empty: it is
+	Digest   string           `json:"digest"`           // the same at members that have the same words
 	Lives    int              `json:"lives"`
 	Words    []WordStatus     `json:"words"`
 	Counters map[string]int64 `json:"counters"`
@@ -77,9 +77,9 @@
 	}
 	switch {
 	case s.unkept != nil:
-		r.Kept = s.unkept.Error()
+		r.Unkept = s.unkept.Error()
 	case s.disk == nil:
-		r.Kept = errNoFolder.Error()
+		r.Unkept = errNoFolder.Error()
 	}
 	for _, name := range s.copy.Names(replica.Word) {
 		all := s.copy.Get(replica.Word, name)
@@ -97,7 +97,7 @@
 func (s *Spread) Fields() map[string]int64 {
 	c := &s.Counters
 	return map[string]int64{
-		"rounds": c.Rounds.Load(), "pieces": c.Pieces.Load(), "taken": c.Taken.Load(), "dropped": c.Dropped.Load(),
-		"refused": c.Refused.Load(), "unkept": c.Unkept.Load(), "warnings": c.Warnings.Load(),
+		"words_rounds": c.Rounds.Load(), "words_pieces": c.Pieces.Load(), "words_taken": c.Taken.Load(),
+		"words_dropped": c.Dropped.Load(), "words_refused": c.Refused.Load(), "words_unkept": c.Unkept.Load(),
 	}
 }
