--- a/cmd/birchfork/outage.go
+++ b/cmd/birchfork/outage.go
@@ -58,7 +58,7 @@
 
 // members is whom a call goes to.
 type members struct {
-	At   []string `help:"Where members listen for the group, host:port; the next is asked where one does not answer." env:"BIRCHFORK_GROUP" required:"" placeholder:"ADDRESS"`
+	At   []string `help:"Where members listen for the group, host:port; the next is asked where one does not answer." env:"BIRCHFORK_GROUP" placeholder:"ADDRESS"`
 	JSON bool     `name:"json" help:"Print the answer as JSON."`
 }
 
@@ -89,14 +89,22 @@
 	return (&council.Client{At: m.At}).Ask(context.Background(), call)
 }
 
+// print prints an answer as JSON where that was asked for.
+func (m *members) print(out output, answer any) error {
+	if !m.JSON {
+		return nil
+	}
+	raw, err := json.Marshal(answer)
+	if err == nil {
+		_, err = fmt.Fprintln(out.std, string(raw))
+	}
+	return err
+}
+
 // tell prints an answer and turns it into the exit status.
 func (m *members) tell(out output, r *council.Reply) error {
-	if m.JSON {
-		raw, err := json.Marshal(r)
-		if err != nil {
-			return err
-		}
-		fmt.Fprintln(out.std, string(raw))
+	if err := m.print(out, r); err != nil {
+		return err
 	}
 	switch {
 	case r.Code == outage.NotNow:
--- a/cmd/birchfork/outage_test.go
+++ b/cmd/birchfork/outage_test.go
@@ -48,6 +48,9 @@
 	}))
 	defer s.Close()
 	at := s.Listener.Addr().String()
+	empty := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, `{"told":"d2"}`) }))
+	defer empty.Close()
+	other := empty.Listener.Addr().String()
 	for _, c := range []struct {
 		args   []string
 		reply  string
@@ -65,6 +68,10 @@
 		{[]string{"resolve", "--at", at, "r", "back"}, `{"wrong":true,"text":"no runner"}`, 1, "no runner"},
 		{[]string{"resolve", "--at", at, "r", "gone"}, "", 1, `must be one of "out","back"`},
 		{[]string{"diff", "--at", at}, `{"told":"d1"}`, 0, "d1 have the same words"},
+		{[]string{"diff", "--at", at, "d9"}, `{"told":"d1"}`, 1, `no member of --at is called "d9"`},
+		{[]string{"diff", "--at", at + "," + other}, `{"told":"d1","words":[{"runner":"r","said":[{"member":"d0"}]}]}`, 2, "r at d1: back by d0\nr at d2: nothing\n"},
+		{[]string{"diff", "--at", at + "," + other, "d2"}, `{"told":"d1","words":[{"runner":"r"}]}`, 0, "d2 have the same words"},
+		{[]string{"words"}, "", 1, "BIRCHFORK_GROUP: no member is named"},
 		{[]string{"diff", "--at", at + ",127.0.0.1:1"}, `{"told":"d1"}`, 2, "127.0.0.1:1 did not answer"},
 		{[]string{"status", "--at", "nonsense"}, "", 1, `--at: "nonsense" is not host:port`},
 		{[]string{"status", "--at", ""}, "", 1, "no member is named"},
--- a/cmd/birchfork/words.go
+++ b/cmd/birchfork/words.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -58,12 +57,8 @@
 }
 
 func (m *members) tellWords(out output, r *spread.Reply) error {
-	if m.JSON {
-		raw, err := json.Marshal(r)
-		if err != nil {
-			return err
-		}
-		fmt.Fprintln(out.std, string(raw))
+	if err := m.print(out, r); err != nil {
+		return err
 	}
 	switch {
 	case r.Wrong:
@@ -103,7 +98,10 @@
 	return "back"
 }
 
-type groupDiff struct{ members }
+type groupDiff struct {
+	members
+	Names []string `arg:"" optional:"" name:"member" help:"Members of --at to compare; none: all of them."`
+}
 
 // Run asks all members that are named and prints on which runners they differ.
 func (g *groupDiff) Run(out output) error {
@@ -118,6 +116,9 @@
 			silent = append(silent, at)
 			continue
 		}
+		if len(g.Names) > 0 && !slices.Contains(g.Names, r.Told) {
+			continue
+		}
 		all = append(all, r.Told)
 		for _, w := range r.Words {
 			if has[w.Runner] == nil {
@@ -130,6 +131,11 @@
 			has[w.Runner][r.Told] = strings.Join(said, " against ")
 		}
 	}
+	for _, name := range g.Names {
+		if len(silent) == 0 && !slices.Contains(all, name) {
+			return fmt.Errorf("no member of --at is called %q", name)
+		}
+	}
 	for runner, by := range has {
 		same := len(by) == len(all)
 		for _, words := range by {
@@ -139,13 +145,10 @@
 			delete(has, runner)
 		}
 	}
-	if g.JSON {
-		raw, err := json.Marshal(map[string]any{"asked": all, "silent": silent, "differ": has})
-		if err != nil {
-			return err
-		}
-		fmt.Fprintln(out.std, string(raw))
-	} else {
+	if err := g.print(out, map[string]any{"asked": all, "silent": silent, "differ": has}); err != nil {
+		return err
+	}
+	if !g.JSON {
 		for _, runner := range slices.Sorted(maps.Keys(has)) {
 			for _, member := range all {
 				words := has[runner][member]
--- a/internal/council/client.go
+++ b/internal/council/client.go
@@ -1,13 +1,10 @@
 package council
 
 import (
-	"bytes"
 	"context"
 	"crypto/rand"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"net/http"
 	"strings"
 	"time"
 
@@ -17,7 +14,6 @@
 
 // Times of a call.
 const (
-	clientWait  = 5 * time.Second        // for one member's answer
 	clientBound = 12 * time.Second       // for an answer at all
 	clientAgain = 200 * time.Millisecond // before another round of tries
 )
@@ -33,10 +29,6 @@
 	if call.Command != nil && call.Command.ID == "" {
 		call.Command.ID = rand.Text()[:16]
 	}
-	body, err := json.Marshal(call)
-	if err != nil {
-		return nil, err
-	}
 	ctx, cancel := context.WithTimeout(ctx, clientBound)
 	defer cancel()
 	last := errors.New("no member is named")
@@ -44,8 +36,10 @@
 		if i > 0 && i%len(c.At) == 0 {
 			pause(ctx, clientAgain)
 		}
-		r, err := once(ctx, c.At[i%len(c.At)], body)
+		r := &Reply{}
+		err := group.Staff(ctx, c.At[i%len(c.At)], PathStaff, call, r)
 		switch {
+		case err != nil && ctx.Err() != nil && i > 0: // our own time is up: what was wrong before tells more
 		case err != nil:
 			last = err
 		case r.Code == outage.NotNow && strings.HasPrefix(r.Text, NotSettled):
@@ -58,21 +52,3 @@
 	}
 	return &Reply{Code: outage.NotNow, Text: fmt.Sprintf("no member has settled it: %v", last)}, nil
 }
-
-func once(ctx context.Context, at string, body []byte) (*Reply, error) {
-	ctx, cancel := context.WithTimeout(ctx, clientWait)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+at+PathStaff, bytes.NewReader(body))
-	if err != nil {
-		return nil, err
-	}
-	raw, err := group.Do(http.DefaultClient, req)
-	if err != nil {
-		return nil, err
-	}
-	r := &Reply{}
-	if err := json.Unmarshal(raw, r); err != nil {
-		return nil, fmt.Errorf("%s is no member of a group: %w", at, err)
-	}
-	return r, nil
-}
--- a/internal/spread/staff.go
+++ b/internal/spread/staff.go
@@ -45,6 +45,15 @@
 	At     time.Time `json:"at"` // by that member's clock
 }
 
+// Ask makes a call of staff at one member: that one's words are told, and it takes a word.
+func Ask(ctx context.Context, at string, c Call) (*Reply, error) {
+	r := &Reply{}
+	if err := group.Staff(ctx, at, PathStaff, c, r); err != nil {
+		return nil, fmt.Errorf("%s: %w", at, err)
+	}
+	return r, nil
+}
+
 func (s *Spread) onStaff(_ context.Context, _ group.Sender, body []byte) ([]byte, error) {
 	var c Call
 	if err := json.Unmarshal(body, &c); err != nil {
