--- a/internal/lab/groups/groups.go
+++ b/internal/lab/groups/groups.go
@@ -53,11 +53,12 @@
 	Far    = "far"    // nothing passes between the member and the workers
 	Unlist = "unlist" // nothing passes between the member and discovery
 	Spoilt = "spoilt" // all jobs of the member fail at the first worker, those of others do not
+	Errs   = "errs"   // all jobs of all members fail at the first worker
 	Down   = "down"   // the worker of that number, no member, is killed and starts again cold
 )
 
 // Kinds are all kinds of faults that a storm draws.
-var Kinds = []string{Cut, Deaf, Mute, Apart, Flap, Reset, Slow, Narrow, Torn, Stop, Kill, Wipe, Old, Alien, Term, Renew, Halves, Thirds, Ring, Far, Unlist, Spoilt, Down}
+var Kinds = []string{Cut, Deaf, Mute, Apart, Flap, Reset, Slow, Narrow, Torn, Stop, Kill, Wipe, Old, Alien, Term, Renew, Halves, Thirds, Ring, Far, Unlist, Spoilt, Errs, Down}
 
 // Fault is one fault of the timetable.
 type Fault struct {
@@ -558,6 +559,11 @@
 		w.ErrFor(f.Member, true)
 		sleep(ctx, f.For)
 		w.ErrFor(f.Member, false)
+	case Errs:
+		w := g.stage.Fleet().Workers[0]
+		w.Err(1)
+		sleep(ctx, f.For)
+		w.Err(0)
 	case Flap:
 		f.Kind = Cut
 		for end := time.Now().Add(f.For); ctx.Err() == nil && time.Now().Before(end); sleep(ctx, flapEvery) {
--- a/internal/lab/groups/judge.go
+++ b/internal/lab/groups/judge.go
@@ -8,6 +8,7 @@
 
 	"birchfork/internal/lab"
 	"birchfork/internal/lab/judge"
+	"birchfork/internal/lab/scenario"
 	"birchfork/internal/outage"
 )
 
@@ -17,11 +18,12 @@
 	BudgetRule = "budget"  // never more machines with staff, or not warm yet, than the plan allows
 	OrderRule  = "order"   // all answers tell one history
 	GoesOnRule = "goes on" // the plan is through at the end of the day
+	WarnedRule = "warned"  // a worker that fails for all gets no job that may not be repeated, once two have failed there
 	UseRule    = "use"     // a worker that fails for one member alone is in use at the others
 )
 
 // Rules are their names in their order.
-var Rules = []string{ClearRule, BudgetRule, OrderRule, GoesOnRule, WordsRule, UseRule}
+var Rules = []string{ClearRule, BudgetRule, OrderRule, GoesOnRule, WordsRule, WarnedRule, UseRule}
 
 // judge judges the group's rules by what workers and staff saw.
 func (g *rig) judge(s *lab.Stage) []judge.Breach {
@@ -32,9 +34,13 @@
 	out = append(out, orderBreaches(g.seen)...)
 	out = append(out, undoneBreaches(g.seen, g.works)...)
 	out = append(out, g.wordBreaches(s)...)
-	for _, f := range g.result.Faults {
-		if f.Kind == Spoilt && len(g.result.Faults) == 1 { // else something else may keep them away
-			out = append(out, useBreaches(s.Ledger().Attempts(), f.Member, g.result.Origin+f.At, g.result.Origin+f.At+f.For)...)
+	if f := g.result.Faults; len(f) == 1 { // else something else may keep members away, or from hearing
+		from, to := g.result.Origin+f[0].At, g.result.Origin+f[0].At+f[0].For
+		switch f[0].Kind {
+		case Spoilt:
+			out = append(out, useBreaches(s.Ledger().Attempts(), f[0].Member, from, to)...)
+		case Errs:
+			out = append(out, warnedBreaches(s, from, to)...)
 		}
 	}
 	if g.o.Machines > 0 && g.result.Ended == 0 {
@@ -43,6 +49,32 @@
 	return out
 }
 
+// heardWithin is how long a warning may take to all members.
+const heardWithin = time.Second
+
+// warnedBreaches are jobs that may not be repeated, at the first worker, after some member has seen two fail in a row there.
+func warnedBreaches(s *lab.Stage, from, to time.Duration) (out []judge.Breach) {
+	class := map[string]int{}
+	for _, t := range s.Ledger().Tries() {
+		class[t.ID] = t.Class
+	}
+	failed, second := map[int]int{}, to
+	for _, a := range s.Ledger().Attempts() {
+		if a.Worker == 0 && a.End == judge.Errored && a.Ended >= from {
+			if failed[a.Dispatcher]++; failed[a.Dispatcher] >= 2 {
+				second = min(second, a.Ended)
+			}
+		}
+	}
+	for _, a := range s.Ledger().Attempts() {
+		if a.Worker == 0 && a.Last > second+heardWithin && a.Last < to && s.Day().Scenario.Classes[class[a.ID]].Effect == scenario.Unsafe {
+			out = append(out, judge.Breach{Rule: WarnedRule, Kind: "lost", At: a.Last, Who: a.Dispatcher, ID: a.ID, Lines: []string{
+				fmt.Sprintf("a member had seen two jobs fail at the worker by %.3fs", second.Seconds())}})
+		}
+	}
+	return out
+}
+
 // What the others of a member for whom a worker fails are to send there after a while: by the first warning they may try it with
 // single jobs for some seconds.
 const (
--- a/internal/lab/groups/words.go
+++ b/internal/lab/groups/words.go
@@ -98,7 +98,7 @@
 		moved = false
 		for _, f := range g.result.Faults {
 			begin, end := g.result.Origin+f.At, g.result.Origin+f.At+f.For
-			if !slices.Contains([]string{Down, Far, Unlist, Spoilt}, f.Kind) && begin < from+spreadWithin && end > from {
+			if !slices.Contains([]string{Down, Far, Unlist, Spoilt, Errs}, f.Kind) && begin < from+spreadWithin && end > from {
 				from, moved = end, true
 			}
 		}
--- a/internal/plant/lean.go
+++ b/internal/plant/lean.go
@@ -21,6 +21,7 @@
 	InWins        = ""
 	Reappears     = ""
 	LeavesAlone   = ""
+	KeepsMum      = ""
 	DiskFails     = ""
 )
 
--- a/internal/plant/plant.go
+++ b/internal/plant/plant.go
@@ -22,13 +22,14 @@
 	InWins        = "in-wins"        // of words that did not see each other "back" counts
 	Reappears     = "reappears"      // an entry that was seen and is gone is taken again
 	LeavesAlone   = "leaves-alone"   // a worker that others warn of gets nothing any more
+	KeepsMum      = "keeps-mum"      // nobody warns the others
 	DiskFails     = "disk-fails"     // no fault of ours: some seconds after its start the disk takes nothing any more
 )
 
 // Names are all faults of ours.
 var Names = []string{
 	NoLease, LongLease, FewWords, NoBudget, DeadUncounted, OwnOrder, ActsTwice, ForgetsOut, SeesAnyway, NeverClear, SilentAnswer,
-	IgnoresBusy, WordsStay, InWins, Reappears, LeavesAlone,
+	IgnoresBusy, WordsStay, InWins, Reappears, LeavesAlone, KeepsMum,
 }
 
 var on string
--- a/internal/warning/warning.go
+++ b/internal/warning/warning.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"birchfork/internal/group"
+	"birchfork/internal/plant"
 )
 
 // Bounds on warnings.
@@ -82,7 +83,7 @@
 			return
 		case worker = <-w.wait:
 		}
-		if time.Since(last[worker]) < every {
+		if time.Since(last[worker]) < every || plant.On(plant.KeepsMum) {
 			continue
 		}
 		if len(last) >= keptMost {
