Hold twelve more guards by tests, and refuse a machine that another plan has by another name

Found on the way: a plan by host and one by name could have the same machine, and count it twice against the budget. Handing the second one in is refused now, by key and plan.

--- a/cmd/birchfork/lab_test.go
+++ b/cmd/birchfork/lab_test.go
@@ -25,6 +25,8 @@
 		{[]string{"lab", "run", "calm", "--plant", "best"}, "unsafe-twice"},
 		{[]string{"lab", "run", "calm", "--rate=-5"}, "above 0"},
 		{[]string{"lab", "run", "calm", "--workers", "20000"}, "more than 10000"},
+		{[]string{"lab", "run", "calm", "--group", "--policy", "least"}, "--group makes an operator's file"},
+		{[]string{"lab", "run", "calm", "--group", "--dispatchers", "2"}, "2 dispatchers are no group"},
 		{[]string{"lab", "show", "nothing"}, "calm"},
 		{[]string{"lab", "report", "/nothing.json"}, "nothing.json"},
 		{[]string{"lab", "compare", "a.json"}, "two kept results"},
--- a/internal/council/council_test.go
+++ b/internal/council/council_test.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -82,9 +83,16 @@
 	at      []string
 	folders []string
 	hands   []*hand
+	guests  []*guest
 	all     []*Council
 }
 
+// guest counts its comings and goings.
+type guest struct{ in, out atomic.Int32 }
+
+func (g *guest) Enter(*group.Links) { g.in.Add(1) }
+func (g *guest) Leave()             { g.out.Add(1) }
+
 func newRoom(t *testing.T) *room {
 	r := &room{t: t, group: config.Group{Name: "g", Plans: true, Lease: time.Second}, all: make([]*Council, 3)}
 	for i := range 3 { // each of an IP that no connection goes out from: the port stays free
@@ -96,7 +104,7 @@
 		l.Close()
 		r.group.Peers = append(r.group.Peers, group.Peer{Name: fmt.Sprint("d", i), Link: r.at[i], Voter: true})
 		r.folders = append(r.folders, t.TempDir())
-		r.hands = append(r.hands, &hand{})
+		r.hands, r.guests = append(r.hands, &hand{}), append(r.guests, &guest{})
 	}
 	return r
 }
@@ -108,7 +116,7 @@
 	r.hands[i] = &hand{}
 	r.all[i] = Start(Options{
 		Group: &own, Self: fmt.Sprint("d", i), Dispatcher: r.hands[i], Beside: r.hands[i].beside,
-		Deadline: 60 * time.Millisecond, Arrive: 40 * time.Millisecond, Warm: 100 * time.Millisecond, Log: quiet(),
+		Guests: []Guest{r.guests[i]}, Deadline: 60 * time.Millisecond, Arrive: 40 * time.Millisecond, Warm: 100 * time.Millisecond, Log: quiet(),
 	})
 	return r.all[i]
 }
@@ -333,10 +341,55 @@
 			t.Fatal("it has taken its place again beside a newer one")
 		}
 	}
+	if g := r.guests[0]; g.in.Load() != 1 || g.out.Load() != 1 {
+		t.Errorf("its guest came %d times and left %d times", g.in.Load(), g.out.Load())
+	}
 	r.hands[0].set(func() { r.hands[0].newer = false })
 	r.until("it speaks again", func() bool { a := r.all[0].agreement(); return a != nil && a.Status().Leader != 0 })
 }
 
+// A plan is not handed in, or does not start, where others could not keep it.
+func TestWhatKeepsAPlan(t *testing.T) {
+	d := &hand{}
+	c := &Council{o: Options{Group: &config.Group{Plans: true, Peers: []group.Peer{{Name: "d0"}, {Name: "d1"}}}, Dispatcher: d},
+		state: outage.New(), words: map[string]heard{}}
+	apply := func(cmd outage.Command) {
+		raw, err := json.Marshal(cmd)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.state.Apply(c.state.Index+1, raw)
+	}
+	plan := func(name string, m outage.Machine) *outage.Plan {
+		m.Name = "m"
+		return &outage.Plan{Name: name, Out: 1, Overdue: outage.Wait, Machines: []outage.Machine{m}}
+	}
+	apply(outage.Command{Kind: outage.HandIn, Plan: plan("hosts", outage.Machine{Host: "h1"})})
+	apply(outage.Command{Kind: outage.HandIn, Plan: plan("names", outage.Machine{Runners: []string{"r0"}})})
+	for want, m := range map[string]outage.Machine{
+		`"r1" is at host h1, which is in plan "hosts"`: {Runners: []string{"r1"}},
+		`"r0", which is there, is in plan "names"`:     {Host: "h0"},
+	} {
+		if got := strings.Join(c.unfit(plan("q", m)), " "); !strings.Contains(got, want) {
+			t.Errorf("%q, want %q", got, want)
+		}
+	}
+	word := func(hosts bool) heard { return heard{report: report{Plans: true, Hosts: hosts}} }
+	for _, name := range []string{"d0", "d1"} {
+		apply(outage.Command{Kind: outage.Join, Member: &outage.Member{Name: name}})
+		c.words[name] = word(name == "d0")
+	}
+	if got := c.absent("hosts"); got != "of a build that knows no machines by host: d1" {
+		t.Errorf("a plan by host: %q", got)
+	}
+	if got := c.absent("names"); got != "" {
+		t.Errorf("a plan by name: %q", got)
+	}
+	if c.words["d1"] = word(true); c.absent("hosts") != "" {
+		t.Errorf("all know hosts: %q", c.absent("hosts"))
+	}
+}
+
 // Who cannot reach the leader is heard through another member.
 func TestCallsAreRelayed(t *testing.T) {
 	r := newRoom(t)
--- a/internal/council/staff.go
+++ b/internal/council/staff.go
@@ -201,6 +201,7 @@
 			out = append(out, fmt.Sprintf("machine[%d].host: no runner is listed at %q; hosts are as in the list's addresses", i, m.Host))
 		}
 	}
+	out = append(out, c.elsewhere(p, fleet)...)
 	for i, m := range p.Machines {
 		for _, r := range m.Runners {
 			w, ok := fleet[r]
@@ -214,6 +215,34 @@
 	return out
 }
 
+// elsewhere are machines of a plan that another one has under the other of a runner's names, its own and its host's: they would
+// count twice against the budget. The lock is held.
+func (c *Council) elsewhere(p *outage.Plan, fleet map[string]outage.Runner) (out []string) {
+	for _, u := range c.state.Plans {
+		if u.Phase == outage.Ended {
+			continue
+		}
+		for _, o := range u.Places {
+			if o.Step == outage.Done || o.Step == outage.Skipped {
+				continue
+			}
+			for i, m := range p.Machines {
+				for _, r := range m.Runners {
+					if o.Host != "" && fleet[r].Host == o.Host {
+						out = append(out, fmt.Sprintf("machine[%d].runners: %q is at host %s, which is in plan %q", i, r, o.Host, u.Name))
+					}
+				}
+				for _, r := range o.Runners {
+					if m.Host != "" && o.Host == "" && fleet[r].Host == m.Host {
+						out = append(out, fmt.Sprintf("machine[%d].host: %q, which is there, is in plan %q", i, r, u.Name))
+					}
+				}
+			}
+		}
+	}
+	return out
+}
+
 // absent says why no plan may start: each member by our file has to be in, and in use of plans, as one that knows of no group
 // sends where it likes. The lock is held.
 func (c *Council) absent(plan string) string {
--- a/internal/node/door_test.go
+++ b/internal/node/door_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -8,6 +9,8 @@
 	"runtime"
 	"strings"
 	"testing"
+
+	"birchfork/internal/handover"
 )
 
 // withDoor starts a dispatcher with an operators' door.
@@ -40,6 +43,52 @@
 	}
 }
 
+// fakeCopies is what the group's members keep in common.
+type fakeCopies struct {
+	said   string
+	local  int
+	behind bool
+	full   error
+}
+
+func (f *fakeCopies) Say(runner string, out bool, at int64) (string, error) {
+	f.said = fmt.Sprint(runner, out, at > 0)
+	return "a note", f.full
+}
+func (f *fakeCopies) Local(words handover.Words) { f.local += len(words) }
+func (f *fakeCopies) CaughtUp() bool             { return !f.behind }
+func (f *fakeCopies) Close()                     {}
+
+// In a group a word goes to the others too, and a start waits for theirs.
+func TestWordsGoToTheGroup(t *testing.T) {
+	t.Setenv("TMPDIR", "") // nothing is shared: no loop of ours asks for words beside the test
+	w := newWorld(t)
+	n := w.withDoor(t)
+	close(w.release)
+	defer n.stop()
+	await(t, "it says that it can serve", func() bool { s, _ := n.call(t, "GET", "/-/ready"); return s == 200 })
+	f := &fakeCopies{behind: true}
+	n.copies = f
+	if status, text := n.call(t, "GET", "/-/ready"); status != 503 || !strings.Contains(text, "what staff have told the others") {
+		t.Errorf("ready: %d %s", status, text)
+	}
+	f.behind = false
+	if status, text := n.call(t, "POST", "/-/runners/w/disable"); status != 200 || text != "yes; a note\n" || f.said != "wtrue true" {
+		t.Errorf("%d %q, told of %q", status, text, f.said)
+	}
+	if n.exchange(); f.local != 1 {
+		t.Errorf("heard %d words of this dispatcher", f.local)
+	}
+	f.full = errors.New("no room")
+	if status, text := n.call(t, "POST", "/-/runners/w/enable"); status != 503 || !strings.Contains(text, "no room") {
+		t.Errorf("%d %s", status, text)
+	}
+	if at := n.bySpread("w", true); at == 0 || len(n.store.Out()) != 1 {
+		t.Errorf("a word of the group: %d, out %v", at, n.store.Out())
+	}
+	http.DefaultClient.CloseIdleConnections()
+}
+
 // What is called out gets nothing until the one call back, and the door is open until the process ends.
 func TestOperatorsTakeARunnerOutAndPutItBack(t *testing.T) {
 	w := newWorld(t)
--- a/internal/outage/outage_test.go
+++ b/internal/outage/outage_test.go
@@ -347,7 +347,15 @@
 	d.tick(sec)
 	d.call(Yes, Command{Kind: Take, Machine: "h"})
 	d.call(Yes, Command{Kind: Return, Machine: "h"})
+	if faults := strings.Join(d.s.Faults(&Plan{Name: "q", Out: 1, Overdue: Wait, Machines: []Machine{{Name: "x", Host: "h0"}}}), " "); !strings.Contains(faults, `machine[0].host: "h0" is in plan "p"`) {
+		t.Errorf("a second plan for it: %s", faults)
+	}
+	was := d.adv.Fleet // nobody is listed there yet: it is not whole for that
+	d.adv.Fleet = map[string]Runner{}
 	d.tick(9 * sec)
+	is("new r0 r1")
+	d.adv.Fleet = was
+	d.tick(sec)
 	is("new r1")
 	d.steps("h returning")
 	d.runner("new", func(r *Runner) { r.Cold = false })
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -198,7 +198,13 @@
 	if !at.is("known") || s.copy.Len() != 1 {
 		t.Errorf("known is out: %t; %d entries", at.is("known"), s.copy.Len())
 	}
-	s.caught["b"] = true
+	if s.CaughtUp() {
+		t.Error("caught up without a word of the others")
+	}
+	s.began = s.began.Add(-2 * caughtWait)
+	if !s.CaughtUp() {
+		t.Error("the others are waited for for ever")
+	}
 	before["known"] = handover.Word{Out: true, At: s.known["known"]}
 	s.Local(before)
 	if s.copy.Len() != 2 || !s.out("lost") {
@@ -249,7 +255,18 @@
 	if lost == 0 {
 		t.Error("no torn disk lost anything: nothing was tried")
 	}
-	bad := filepath.Join(t.TempDir(), "file")
+	bad := t.TempDir()
+	if err := os.Mkdir(filepath.Join(bad, diskFile), 0o700); err != nil { // the system refuses it: it may be whole
+		t.Fatal(err)
+	}
+	s, _ = start(t, "a", bad)
+	if note, err := s.Say("r", true, 1); err != nil || !strings.Contains(note, "does not keep it over a restart") {
+		t.Errorf("a file that is a folder: %q, %v", note, err)
+	}
+	if _, err := os.Stat(filepath.Join(bad, diskFile)); err != nil {
+		t.Errorf("it was put aside: %v", err)
+	}
+	bad = filepath.Join(t.TempDir(), "file")
 	if err := os.WriteFile(bad, nil, 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/rules/warned_test.go
+++ b/rules/warned_test.go
@@ -39,6 +39,21 @@
 	if warn(0); at(unsafe, 60) > 0 {
 		t.Error("a later word is not heeded")
 	}
+	k.wait(Second)
+	failed := 0
+	for failed == 0 { // its first trial fails: that is no reason to trust it
+		id, acts := k.land(safe, 10*ms)
+		to := sentTo(acts)[0]
+		if to == 0 {
+			failed++
+			k.do(Event{Kind: Ended, Request: id, Result: Failed, Final: true})
+		} else {
+			k.do(Event{Kind: Ended, Request: id, Result: OK, Final: true})
+		}
+	}
+	if n := at(unsafe, 60); n > 0 {
+		t.Errorf("%d jobs that may not be repeated went there after a trial that failed", n)
+	}
 	for w := range WorkerID(6) {
 		warn(w)
 	}
