--- a/internal/lab/groups/judge.go
+++ b/internal/lab/groups/judge.go
@@ -30,7 +30,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	out := clearBreaches(s.Ledger().Attempts(), g.works)
-	out = append(out, budgetBreaches(g.works, g.downs, g.o.Out, s.Day().Scenario.Terms.WarmWithin)...)
+	out = append(out, budgetBreaches(g.works, append(g.byHand(), g.downs...), g.o.Out, s.Day().Scenario.Terms.WarmWithin)...)
 	out = append(out, orderBreaches(g.seen)...)
 	out = append(out, undoneBreaches(g.seen, g.works)...)
 	out = append(out, g.wordBreaches(s)...)
--- a/internal/lab/groups/words.go
+++ b/internal/lab/groups/words.go
@@ -196,6 +196,23 @@
 	return r.Digest + " (" + strings.Join(all, ", ") + ")"
 }
 
+// byHand are the times for which runners were out by words, up to the first word back. The lock is held.
+func (g *rig) byHand() (out []down) {
+	for _, w := range g.spoken {
+		if !w.Out {
+			continue
+		}
+		d := down{from: w.came}
+		for _, o := range g.spoken {
+			if o.Worker == w.Worker && !o.Out && o.asked > w.came && (d.until == 0 || o.asked < d.until) {
+				d.until = o.asked
+			}
+		}
+		out = append(out, d)
+	}
+	return out
+}
+
 // saySome has words be said beside the faults.
 func (g *rig) saySome(ctx context.Context, all *sync.WaitGroup) {
 	if len(g.o.Words) == 0 {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -170,7 +170,7 @@
 
 // Say writes an entry that has seen all of its kind and name here.
 func (c *Copy) Say(e Entry) (Entry, error) {
-	if c.size >= WordsMost {
+	if c.size >= WordsMost && len(c.held[e.key()]) == 0 { // one that replaces another is taken: a runner can be put back
 		return Entry{}, ErrFull
 	}
 	e.Dot = Dot{c.life, c.seen[c.life] + 1}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -216,6 +217,26 @@
 	})
 }
 
+// Staff are refused one runner more than there is room for, and can say new words on those that there are; what others said is taken.
+func TestFull(t *testing.T) {
+	c, other := New("l"), New("o")
+	for i := range WordsMost {
+		if _, err := c.Say(Entry{Kind: Word, Name: fmt.Sprint("r", i), Out: true}); err != nil {
+			t.Fatal(i, err)
+		}
+	}
+	if _, err := c.Say(Entry{Kind: Word, Name: "more", Out: true}); !errors.Is(err, ErrFull) {
+		t.Errorf("one more: %v", err)
+	}
+	if _, err := c.Say(Entry{Kind: Word, Name: "r7"}); err != nil || Out(c.Get(Word, "r7")) {
+		t.Errorf("one back: %v", err)
+	}
+	other.Say(Entry{Kind: Word, Name: "theirs", Out: true})
+	if _, err := c.Take(&Pull{}, other.News(nil, Mark{}, 9)); err != nil || !Out(c.Get(Word, "theirs")) {
+		t.Errorf("another's: %v", err)
+	}
+}
+
 // Whatever comes as a piece is taken whole or refused, and what is held stays in order.
 func FuzzPieces(f *testing.F) {
 	seed := New("l")
