--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -198,6 +198,9 @@
 	if !at.is("known") || s.copy.Len() != 1 {
 		t.Errorf("known is out: %t; %d entries", at.is("known"), s.copy.Len())
 	}
+	if _, told := at.out["lost"]; told || !s.before["lost"] {
+		t.Errorf("what was out before is left as it was until the others had their time: %v", at.out)
+	}
 	if s.CaughtUp() {
 		t.Error("caught up without a word of the others")
 	}
