Let a member tell its words only once it has heard of others, and play copies in virtual time

Need: replication of words was not played with more than twenty members, and no figures of its cost were there.

Seen: in one simulated history of 500 a member that had lost its disk took from one with a disk of before what all others had forgotten, until it met one of those (3 of 700 of three members, 1 of 700 of five).

Drawn words in storms are ended only once all others were answered: in two storms of 80 a word said to a killed member came after the one that put its runner back, and the plan rightly stood still.

--- a/cmd/birchfork/lab.go
+++ b/cmd/birchfork/lab.go
@@ -46,6 +46,7 @@
 	Scale    labScale    `cmd:"" help:"Measure how the cost grows with workers and dispatchers."`
 
 	Histories labHistories `cmd:"" help:"Play the cores of a group in virtual time: simulated histories, with faults drawn from a seed."`
+	Copies    labCopies    `cmd:"" help:"Play copies of staff's words in virtual time: how soon all are one, and what that costs."`
 	Group     labGroup     `cmd:"" help:"Play a group of dispatchers with faults between them, and judge what it promises."`
 
 	Member     labMember     `cmd:"" hidden:"" help:"One member that has a planted fault: for the lab itself."`
--- a/internal/lab/groups/groups.go
+++ b/internal/lab/groups/groups.go
@@ -319,7 +319,7 @@
 	}
 	for i := range g.o.Members * min(g.o.Say, 1) {
 		for w := range workers - machinesMost {
-			out = append(out, Word{Member: i, Worker: w, At: g.o.For * 2 / 5})
+			out = append(out, Word{Member: i, Worker: w, At: g.o.For * 2 / 5, last: true})
 		}
 	}
 	return out
--- a/internal/lab/groups/words.go
+++ b/internal/lab/groups/words.go
@@ -22,6 +22,8 @@
 	Worker int           `toml:"worker"` // of the day; one that is in no plan
 	Out    bool          `toml:"out"`
 	At     time.Duration `toml:"at"`
+
+	last bool // is said once all others were answered
 }
 
 // spoken is a word that was answered yes.
@@ -233,7 +235,21 @@
 	for i := range g.real {
 		all.Go(func() { g.listen(ctx, i) })
 	}
+	var first sync.WaitGroup
 	for _, w := range g.o.Words {
-		all.Go(func() { g.speak(ctx, w) })
+		if !w.last {
+			first.Go(func() { g.speak(ctx, w) })
+		}
+	}
+	for _, w := range g.o.Words {
+		if w.last {
+			all.Go(func() {
+				from := g.stage.Ledger().Now()
+				first.Wait() // a member that is away takes what was said to it late
+				w.At -= g.stage.Ledger().Now() - from
+				g.speak(ctx, w)
+			})
+		}
 	}
+	all.Go(first.Wait)
 }
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -391,7 +391,10 @@
 	Dots []replica.Dot `json:"dots"`
 }
 
-var errOutside = &group.Refused{Text: "this process has no copy"}
+var (
+	errOutside = &group.Refused{Text: "this process has no copy"}
+	errStarted = &group.Refused{Text: "this process has just started: it has to hear of others first what its disk is worth"}
+)
 
 // visit takes all that a member has and we have not, and lets go of what it has seen go.
 func (s *Spread) visit(ctx context.Context, name string) error {
@@ -417,13 +420,14 @@
 			if err := s.mend(ctx, name, is, its); err != nil {
 				return err
 			}
+			s.caughtBy(name)
 		default:
 			if err := s.pull(ctx, name); err != nil {
 				return err
 			}
-			s.mu.Lock()
-			s.caught[name] = true
-			s.mu.Unlock()
+			if tries > 0 { // what it has seen go is gone here too
+				s.caughtBy(name)
+			}
 		}
 		if tries > 0 { // the rest is the next round's
 			return nil
@@ -431,6 +435,14 @@
 	}
 }
 
+func (s *Spread) caughtBy(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.copy != nil {
+		s.caught[name] = true
+	}
+}
+
 // pull takes pieces up to the last one; what is cut off goes on there.
 func (s *Spread) pull(ctx context.Context, name string) error {
 	for {
@@ -557,6 +569,10 @@
 
 func (s *Spread) onPull(_ context.Context, _ group.Sender, body []byte) ([]byte, error) {
 	return answer(s, body, func(p *pull) (replica.Piece, error) {
+		// Guards against a disk of before: one that has lost its own would take from it what all others have forgotten.
+		if !s.caughtUp() {
+			return replica.Piece{}, errStarted
+		}
 		return s.copy.News(p.Seen, p.From, pieceMost), nil
 	})
 }
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -57,6 +57,26 @@
 	return s, at
 }
 
+// Guards against one that has lost its disk, and takes from one with a disk of before what all others have forgotten.
+func TestWhoHasJustStartedTellsNothing(t *testing.T) {
+	s, _ := start(t, "a", t.TempDir(), "b", "c")
+	ask := func() error {
+		_, err := s.onPull(context.Background(), group.Sender{Name: "b"}, []byte("{}"))
+		return err
+	}
+	if err := ask(); err != errStarted {
+		t.Errorf("right after its start: %v", err)
+	}
+	s.caughtBy("b")
+	if s.caughtBy("c"); ask() != nil {
+		t.Errorf("two others have told all they had: %v", ask())
+	}
+	clear(s.caught)
+	if s.began = s.began.Add(-caughtWait); ask() != nil {
+		t.Errorf("nobody has answered for %v: %v", caughtWait, ask())
+	}
+}
+
 // join puts members on links, and returns what parts them again.
 func join(t *testing.T, all ...*Spread) (part func()) {
 	t.Helper()
