Tell version, settings and lag of each member, and catch four more planted faults by processes

Change: members tell each other version, digests of settings and operator's file and their start with each visit; group status shows them side by side with lag in entries and seconds, conflicts, bytes by peer. A fault 'crash' loses a machine's temporary files, and a lost disk loses them too: a word came back from there, which hid count-again and early-yes.

--- a/cmd/birchfork/outage.go
+++ b/cmd/birchfork/outage.go
@@ -16,6 +16,7 @@
 
 	"birchfork/internal/council"
 	"birchfork/internal/outage"
+	"birchfork/internal/spread"
 	"birchfork/internal/tomlfile"
 )
 
@@ -166,12 +167,56 @@
 	if err != nil {
 		return err
 	}
-	if !g.JSON && r.Status != nil {
+	copies, failed := g.words(spread.Call{})
+	if g.JSON {
+		if err := g.print(out, struct {
+			*council.Reply
+			Copies *spread.Reply `json:"copies,omitempty"`
+		}{r, copies}); err != nil {
+			return err
+		}
+		return (&members{}).tell(out, &council.Reply{Code: r.Code, Text: r.Text})
+	}
+	if r.Status != nil {
 		printGroup(out.std, r.Status)
 	}
+	if failed == nil {
+		printCopies(out.std, copies)
+	}
 	return g.tell(out, r)
 }
 
+// printCopies prints what members run and how far behind their words are, side by side.
+func printCopies(w io.Writer, r *spread.Reply) {
+	conflicts := 0
+	for _, word := range r.Words {
+		if word.Conflict {
+			conflicts++
+		}
+	}
+	fmt.Fprintf(w, "words on %d runners, %d in conflict, as %s has them\n", len(r.Words), conflicts, r.Told)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "MEMBER\tVERSION\tSETTINGS\tOPERATOR'S FILE\tSTARTED\tWORDS\tBEHIND\tSAME\tBYTES OUT, IN")
+	ago := func(d time.Duration) string {
+		if d < 0 {
+			return "never"
+		}
+		return d.Round(100*time.Millisecond).String() + " ago"
+	}
+	for i, m := range r.Members {
+		started, same := "unknown", ago(m.Same)
+		if !m.Started.IsZero() {
+			started = m.Started.Format(time.DateTime)
+		}
+		if i == 0 {
+			same = "-"
+		}
+		fmt.Fprintf(t, "%s\t%s\t%.8s\t%.8s\t%s\t%d\t%d\t%s\t%d, %d\n", m.Name, orNone(m.Version), orNone(m.Settings), orNone(m.Operator),
+			started, m.Held, max(m.Behind, 0), same, m.BytesOut, m.BytesIn)
+	}
+	t.Flush()
+}
+
 // planFile is a plan as staff write it.
 type planFile struct {
 	Name     string        `toml:"name"`
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -12,6 +12,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"birchfork/internal/limits"
 	"birchfork/internal/routes"
 	"birchfork/internal/tomlfile"
@@ -109,6 +111,7 @@
 	Settings rules.Settings // the platform's, narrowed
 	Lines    []Line         // what is in force, for people
 	Group    *Group         // nil: it is in none
+	Digest   string         // of the file's text
 }
 
 // Line is one figure in force.
@@ -137,7 +140,7 @@
 	if err != nil {
 		return nil, err
 	}
-	plan.Path = path
+	plan.Path, plan.Digest = path, fmt.Sprintf("%016x", xxhash.Sum64(raw))
 	return plan, nil
 }
 
--- a/internal/lab/groups/groups.go
+++ b/internal/lab/groups/groups.go
@@ -43,7 +43,8 @@
 	Torn   = "torn"   // its links break after 700 bytes
 	Stop   = "stop"   // its process stands still
 	Kill   = "kill"   // its process is killed, and started again with its disk
-	Wipe   = "wipe"   // ... with an empty disk
+	Crash  = "crash"  // ... as when its machine goes down: temporary files are lost
+	Wipe   = "wipe"   // ... and with an empty disk
 	Old    = "old"    // it works on, is killed, and started again with the disk that it had at the fault's beginning
 	Alien  = "alien"  // killed, and started again with the words that the next member's disk has
 	Term   = "term"   // its process ends in order and is started again
@@ -63,7 +64,7 @@
 var ofWorkers = map[string]bool{Down: true, Hang: true}
 
 // Kinds are all kinds of faults that a storm draws.
-var Kinds = []string{Cut, Deaf, Mute, Apart, Flap, Reset, Slow, Narrow, Torn, Stop, Kill, Wipe, Old, Alien, Term, Renew, Halves, Thirds, Ring, Far, Unlist, Spoilt, Errs, Down, Hang}
+var Kinds = []string{Cut, Deaf, Mute, Apart, Flap, Reset, Slow, Narrow, Torn, Stop, Kill, Crash, Wipe, Old, Alien, Term, Renew, Halves, Thirds, Ring, Far, Unlist, Spoilt, Errs, Down, Hang}
 
 // Fault is one fault of the timetable.
 type Fault struct {
@@ -72,7 +73,8 @@
 	At     time.Duration `toml:"at"`     // since the group was founded and its plan ran
 	For    time.Duration `toml:"for"`
 
-	other int // whom it is apart from
+	other int           // whom it is apart from
+	lost  time.Duration // when a disk was lost or replaced, on the ledger's clock; 0: not yet, or none
 }
 
 func (f Fault) String() string {
@@ -226,6 +228,7 @@
 }
 
 func (g *rig) operator(name string) string { return filepath.Join(g.dir, name+".toml") }
+func (g *rig) temporary(i int) string      { return filepath.Join(g.dir, fmt.Sprintf("birchfork-d%d", i)) }
 func (g *rig) folder(i int) string         { return filepath.Join(g.dir, fmt.Sprintf("disk-d%d", i)) }
 
 // lay lays the links and writes the members' files.
@@ -691,7 +694,7 @@
 	if f.Member < 0 {
 		f.Member = g.leader()
 	}
-	if slices.Contains([]string{Stop, Kill, Wipe, Old, Alien, Term, Renew}, f.Kind) {
+	if slices.Contains([]string{Stop, Kill, Crash, Wipe, Old, Alien, Term, Renew}, f.Kind) {
 		if !g.seize(&f) {
 			return
 		}
@@ -705,26 +708,36 @@
 	}
 	g.mu.Lock()
 	n := len(g.had)
-	g.had = append(g.had, Fault{f.Kind, f.Member, at, never, f.other}) // it lasts until we know better
+	g.had = append(g.had, Fault{f.Kind, f.Member, at, never, f.other, 0}) // it lasts until we know better
 	g.mu.Unlock()
 	defer func() {
 		g.mu.Lock()
 		g.had[n].For = g.stage.Ledger().Now() - at
 		g.mu.Unlock()
 	}()
+	loses := func(change func()) func() {
+		return func() {
+			g.mu.Lock()
+			g.had[n].lost = g.stage.Ledger().Now()
+			g.mu.Unlock()
+			change()
+		}
+	}
 	switch f.Kind {
+	case Crash:
+		g.stage.Kill(ctx, f.Member, f.For, func() { os.RemoveAll(g.temporary(f.Member)) })
 	case Stop:
 		g.stage.Stop(ctx, f.Member, f.For)
 	case Kill:
 		g.stage.Kill(ctx, f.Member, f.For, nil)
 	case Wipe:
-		g.stage.Kill(ctx, f.Member, f.For, func() { os.RemoveAll(g.folder(f.Member)) })
+		g.stage.Kill(ctx, f.Member, f.For, loses(func() { os.RemoveAll(g.folder(f.Member)); os.RemoveAll(g.temporary(f.Member)) }))
 	case Old:
 		was := g.read(f.Member, "group.db", "words.db")
 		sleep(ctx, f.For)
-		g.stage.Kill(ctx, f.Member, 0, func() { g.write(f.Member, was) })
+		g.stage.Kill(ctx, f.Member, 0, loses(func() { g.write(f.Member, was) }))
 	case Alien:
-		g.stage.Kill(ctx, f.Member, f.For, func() { g.write(f.Member, g.read((f.Member+1)%len(g.real), "words.db")) })
+		g.stage.Kill(ctx, f.Member, f.For, loses(func() { g.write(f.Member, g.read((f.Member+1)%len(g.real), "words.db")) }))
 	case Term:
 		g.stage.Terminate(ctx, f.Member)
 	case Renew:
--- a/internal/lab/groups/scenarios.go
+++ b/internal/lab/groups/scenarios.go
@@ -89,7 +89,7 @@
 	if s.Failing < 0 || s.Failing >= max(s.Members, 1) {
 		fault("failing", "there is no member %d", s.Failing)
 	}
-	if s.Plant != "" && !slices.Contains(plant.Names, s.Plant) {
+	if s.Plant != "" && s.Plant != plant.ClocksApart && !slices.Contains(plant.Names, s.Plant) {
 		fault("plant", "%q is none of %s", s.Plant, strings.Join(plant.Names, ", "))
 	}
 	if s.Caught != "" && !slices.Contains(Rules, s.Caught) {
--- a/internal/lab/groups/words.go
+++ b/internal/lab/groups/words.go
@@ -119,7 +119,7 @@
 func (g *rig) losable(w *spoken) bool {
 	around := g.calm(w.came) + spreadWithin
 	return slices.ContainsFunc(g.had, func(f Fault) bool {
-		return slices.Contains([]string{Wipe, Old, Alien}, f.Kind) && f.Member == w.Member && f.At < around && f.At+f.For > w.asked
+		return slices.Contains([]string{Wipe, Old, Alien}, f.Kind) && f.Member == w.Member && f.At < around && (f.lost == 0 || f.lost > w.asked)
 	}) || g.o.Diskless
 }
 
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -45,6 +45,7 @@
 	Unspoken                []string     // settings that sockets have no words for yet, a line each
 	platform                config.Platform
 	raw                     []byte // as it was read
+	digest                  string // of the settings, where there is a group
 }
 
 // The limits where the configuration has none, and the least to work with.
@@ -108,6 +109,9 @@
 		return nil, err
 	}
 	c.Operator, c.Settings = plan, plan.Settings
+	if plan.Group != nil {
+		c.digest = settingsDigest(raw)
+	}
 	if plan.Group != nil && !groupsLinked {
 		return nil, fmt.Errorf("%s: group: this build (tag lean) leaves groups of dispatchers out; one without the tag has them", operator)
 	}
--- a/internal/node/group.go
+++ b/internal/node/group.go
@@ -3,7 +3,12 @@
 package node
 
 import (
+	"encoding/json"
 	"fmt"
+	"runtime/debug"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
 
 	"birchfork/internal/council"
 	"birchfork/internal/spread"
@@ -13,6 +18,47 @@
 // groupsLinked says that this build has what groups need.
 const groupsLinked = true
 
+// about is what the others are told of this process.
+func (n *node) about() spread.About {
+	c := n.inForce()
+	return spread.About{Version: version(), Settings: c.digest, Operator: c.Operator.Digest, Started: n.began}
+}
+
+// version is the revision that this program was built from, as far as the build has noted it.
+var version = sync.OnceValue(func() string {
+	b, ok := debug.ReadBuildInfo()
+	if !ok {
+		return ""
+	}
+	for _, s := range b.Settings {
+		if s.Key == "vcs.revision" {
+			return s.Value[:min(len(s.Value), 12)]
+		}
+	}
+	return b.Main.Version
+})
+
+// ownKeys are the platform's settings that differ between dispatchers as they should.
+var ownKeys = []string{"zone", "ordinal"}
+
+// settingsDigest is the same for dispatchers that the platform tells the same.
+func settingsDigest(raw json.RawMessage) string {
+	var f struct {
+		Settings map[string]any `json:"settings"`
+	}
+	if json.Unmarshal(raw, &f) != nil {
+		return "" // Decode says so
+	}
+	for _, k := range ownKeys {
+		delete(f.Settings, k)
+	}
+	all, err := json.Marshal(f.Settings) // keys in order
+	if err != nil {
+		return ""
+	}
+	return fmt.Sprintf("%016x", xxhash.Sum64(all))
+}
+
 // takePart takes part in the group, if there is one. Its address and folder have to be free, unless another process of this
 // dispatcher may have them.
 func (n *node) takePart() error {
@@ -37,7 +83,7 @@
 		}
 	}
 	s, err := spread.New(spread.Options{
-		Group: g.Name, Self: n.config.Name, Folder: g.Folder, Peers: others, Changed: n.bySpread, Say: n.byHand,
+		Group: g.Name, Self: n.config.Name, Folder: g.Folder, Peers: others, Changed: n.bySpread, Say: n.byHand, About: n.about,
 		Log: n.log.WithField("part", "group"),
 	})
 	if err != nil {
--- a/internal/node/group_lean.go
+++ b/internal/node/group_lean.go
@@ -2,7 +2,12 @@
 
 package node
 
+import "encoding/json"
+
 // groupsLinked says that this build leaves groups out: their libraries take 3 MB resident, also where no group is named.
 const groupsLinked = false
 
 func (n *node) takePart() error { return nil }
+
+// settingsDigest is for the members of a group.
+func settingsDigest(json.RawMessage) string { return "" }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -107,6 +107,7 @@
 // node is a running dispatcher.
 type node struct {
 	config    *Config
+	began     time.Time
 	tuned     atomic.Pointer[Config] // what was taken over since the start; nil: nothing
 	log       logrus.FieldLogger
 	store     *store.Store
@@ -151,7 +152,7 @@
 // start brings a dispatcher up. It serves when start returns, unless another process of this dispatcher does: then it
 // listens for clients once it can serve as well.
 func start(c *Config, log logrus.FieldLogger, module store.Decider) (*node, error) {
-	n := &node{config: c, log: log, served: make(chan error, 1), listening: make(chan struct{}), process: &handover.Process{}}
+	n := &node{config: c, began: time.Now(), log: log, served: make(chan error, 1), listening: make(chan struct{}), process: &handover.Process{}}
 	n.claim()
 	n.beside.Store(int32(n.process.Others().Alive))
 	seed := n.seed()
--- a/internal/plant/lean.go
+++ b/internal/plant/lean.go
@@ -3,6 +3,8 @@
 // Package plant is left out of this build: no fault can be switched on.
 package plant
 
+import "time"
+
 // The faults' names, for those who ask.
 const (
 	NoLease       = ""
@@ -22,8 +24,17 @@
 	Reappears     = ""
 	LeavesAlone   = ""
 	KeepsMum      = ""
+	Older         = ""
+	CountAgain    = ""
+	ClockWins     = ""
+	ClocksApart   = ""
+	EarlyYes      = ""
+	Overwrites    = ""
 	DiskFails     = ""
 )
 
+// Skew is how far a member's wall clock is off: it never is.
+func Skew(string) time.Duration { return 0 }
+
 // On tells whether a fault is switched on: none ever is.
 func On(string) bool { return false }
--- a/internal/plant/plant.go
+++ b/internal/plant/plant.go
@@ -4,6 +4,8 @@
 // lab's own command sets one; a lean build has none of it.
 package plant
 
+import "time"
+
 // The faults, by name. What each breaks stands where it is asked for.
 const (
 	NoLease       = "no-lease"       // sends go out without a look at the lease
@@ -23,6 +25,11 @@
 	Reappears     = "reappears"      // an entry that was seen and is gone is taken again
 	LeavesAlone   = "leaves-alone"   // a worker that others warn of gets nothing any more
 	KeepsMum      = "keeps-mum"      // nobody warns the others
+	CountAgain    = "count-again"    // a member's words count from one again after each start, under one life
+	ClockWins     = "clock-wins"     // of two words the one with the later time counts; members' clocks are hours apart
+	EarlyYes      = "early-yes"      // staff hear yes seconds before a word is synced
+	Overwrites    = "overwrites"     // what a member hears replaces what it has
+	ClocksApart   = "clocks-apart"   // no fault of ours: members' clocks are hours apart
 	Older         = "older"          // no fault of ours: a build of before, which knows less of settled entries
 	DiskFails     = "disk-fails"     // no fault of ours: some seconds after its start the disk takes nothing any more
 )
@@ -30,7 +37,15 @@
 // Names are all faults of ours.
 var Names = []string{
 	NoLease, LongLease, FewWords, NoBudget, DeadUncounted, OwnOrder, ActsTwice, ForgetsOut, SeesAnyway, NeverClear, SilentAnswer,
-	IgnoresBusy, WordsStay, InWins, Reappears, LeavesAlone, KeepsMum,
+	IgnoresBusy, WordsStay, InWins, Reappears, LeavesAlone, KeepsMum, CountAgain, ClockWins, EarlyYes, Overwrites,
+}
+
+// Skew is how far a member's wall clock is off, where clocks are to be apart: by two hours for each count of its name's last digit.
+func Skew(member string) time.Duration {
+	if on != ClocksApart && on != ClockWins || member == "" {
+		return 0
+	}
+	return time.Duration(member[len(member)-1]-'0') * 2 * time.Hour
 }
 
 var on string
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -47,6 +47,15 @@
 	return true
 }
 
+// Count is how many entries have been seen.
+func (s Seen) Count() int {
+	n := uint64(0)
+	for _, c := range s {
+		n += c
+	}
+	return int(n)
+}
+
 func (s Seen) join(o Seen) {
 	for life, n := range o {
 		s[life] = max(s[life], n)
@@ -207,12 +216,12 @@
 	k := e.key()
 	all := c.held[k]
 	for _, o := range all {
-		if o.Dot == e.Dot || o.Saw.Has(e.Dot) {
+		if o.Dot == e.Dot || o.Saw.Has(e.Dot) || plant.On(plant.ClockWins) && o.At > e.At {
 			return false
 		}
 	}
 	for _, o := range slices.Clone(all) {
-		if e.Saw.Has(o.Dot) {
+		if e.Saw.Has(o.Dot) || plant.On(plant.ClockWins) {
 			c.remove(o)
 		}
 	}
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -51,10 +51,29 @@
 	// Changed puts what staff's words on a runner come to now in force at this dispatcher, and returns which word that was there.
 	Changed func(runner string, out bool) int64
 	// Say says a word as the operators' door does.
-	Say func(runner string, out bool) (note string, err error)
-	Log logrus.FieldLogger
+	Say   func(runner string, out bool) (note string, err error)
+	About func() About // this process, for the others and staff; nil: nothing is told
+	Log   logrus.FieldLogger
 }
 
+// About is what members tell of themselves, to be seen side by side.
+type About struct {
+	Version  string    `json:"version"`
+	Settings string    `json:"settings"` // a digest of the platform's, but for what is each dispatcher's own
+	Operator string    `json:"operator"` // ... of the operator's file
+	Started  time.Time `json:"started"`  // by that member's clock
+}
+
+// met is what another member told last.
+type met struct {
+	about      About
+	at, same   time.Time // of its last word, and of the last one by which it had the same as we; zero: never
+	seen, held int       // entries that it has seen, and has
+}
+
+// passed counts what has gone to a member and come from it.
+type passed struct{ messages, out, in int64 }
+
 // Counters count what passes.
 type Counters struct {
 	Rounds, Pieces, Taken, Dropped, Refused, Unkept atomic.Int64
@@ -76,7 +95,9 @@
 	heard   map[string]replica.Seen
 	pulls   map[string]*replica.Pull
 	asking  map[string]bool
-	caught  map[string]bool  // members that have told all they had
+	caught  map[string]bool // members that have told all they had
+	others  map[string]met
+	passed  map[string]passed
 	known   map[string]int64 // words of this dispatcher's processes that are in the copy, or were before it
 	before  map[string]bool  // runners that were out before, of which the copy knew nothing
 	settled bool             // words from before are told apart from new ones
@@ -91,7 +112,7 @@
 // New reads the disk, so that what it has binds before anything is sent. Where another process of this dispatcher has it that one
 // is to tell, until it leaves.
 func New(o Options) (*Spread, error) {
-	s := &Spread{o: o, began: time.Now(), news: make(chan struct{}, 1), meet: make(chan string, 16)}
+	s := &Spread{o: o, began: time.Now(), others: map[string]met{}, passed: map[string]passed{}, news: make(chan struct{}, 1), meet: make(chan string, 16)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.open(); err != nil && !errors.Is(err, keep.ErrTaken) {
@@ -102,7 +123,11 @@
 
 // open begins a copy by what the disk has. The lock is held.
 func (s *Spread) open() error {
-	c := replica.New(rand.Text()[:16]) // a life of its own: no count of it was ever used
+	life := rand.Text()[:16] // of its own: no count of it was ever used
+	if plant.On(plant.CountAgain) {
+		life = s.o.Self
+	}
+	c := replica.New(life)
 	d, unreadable, err := openDisk(s.o.Folder, s.o.Group, c)
 	if errors.Is(err, keep.ErrTaken) || errors.Is(err, keep.ErrForeign) {
 		return err
@@ -179,6 +204,9 @@
 // keep writes what the disk may not have; it is tried again with each round. The lock is held.
 func (s *Spread) keep() error {
 	sum := s.copy.Seen().Sum()
+	if plant.On(plant.EarlyYes) && time.Since(s.began) < 8*time.Second {
+		return nil
+	}
 	if len(s.dirty) == 0 && sum == s.synced || s.disk == nil {
 		return s.unkept
 	}
@@ -211,7 +239,7 @@
 	delete(s.before, runner)
 	all := s.copy.Get(replica.Word, runner)
 	if replica.Out(all) != out || replica.Conflict(all) || out && len(all) == 0 {
-		if _, err := s.copy.Say(replica.Entry{Kind: replica.Word, Name: runner, Out: out, Member: s.o.Self, At: time.Now().UnixMilli()}); err != nil {
+		if _, err := s.copy.Say(replica.Entry{Kind: replica.Word, Name: runner, Out: out, Member: s.o.Self, At: time.Now().Add(plant.Skew(s.o.Self)).UnixMilli()}); err != nil {
 			return "", fmt.Errorf("it binds here alone: %w", err)
 		}
 		s.dirty[runner] = true
@@ -376,9 +404,32 @@
 
 // hello is what a copy is like, in short.
 type hello struct {
-	Seen uint64   `json:"seen"`
-	Sum  uint64   `json:"sum"`
-	Sums []uint64 `json:"sums,omitempty"` // by bucket, where the same was seen and not the same is there
+	Seen  uint64   `json:"seen"`
+	Sum   uint64   `json:"sum"`
+	Sums  []uint64 `json:"sums,omitempty"` // by bucket, where the same was seen and not the same is there
+	Count int      `json:"count"`          // entries that were seen, those that are gone too
+	Held  int      `json:"held"`
+	About About    `json:"about,omitzero"`
+}
+
+// hello is ours. The lock is held.
+func (s *Spread) hello() hello {
+	seen := s.copy.Seen()
+	h := hello{Seen: seen.Sum(), Sum: s.copy.Sum(), Count: seen.Count(), Held: s.copy.Len()}
+	if s.o.About != nil {
+		h.About = s.o.About()
+	}
+	return h
+}
+
+// meets notes another member's. The lock is held.
+func (s *Spread) meets(name string, its *hello, same bool) {
+	m := s.others[name]
+	m.about, m.at, m.seen, m.held = its.About, time.Now(), its.Count, its.Held
+	if same {
+		m.same = m.at
+	}
+	s.others[name] = m
 }
 
 type pull struct {
@@ -404,12 +455,15 @@
 			s.mu.Unlock()
 			return errOutside
 		}
-		is, seen := hello{Seen: s.copy.Seen().Sum(), Sum: s.copy.Sum()}, s.copy.Seen()
+		is, seen := s.hello(), s.copy.Seen()
 		s.mu.Unlock()
 		var its hello
 		if err := s.ask(ctx, name, pathHello, is, &its); err != nil {
 			return err
 		}
+		s.mu.Lock()
+		s.meets(name, &its, its.Seen == is.Seen && its.Sum == is.Sum)
+		s.mu.Unlock()
 		switch {
 		case its.Seen == is.Seen && its.Sum == is.Sum:
 			s.mu.Lock()
@@ -455,6 +509,9 @@
 		if p == nil {
 			p = &replica.Pull{}
 			s.pulls[name] = p
+			if plant.On(plant.Overwrites) {
+				s.copy = replica.New(rand.Text()[:16])
+			}
 		}
 		ask := pull{s.copy.Seen(), p.Mark}
 		s.mu.Unlock()
@@ -508,7 +565,7 @@
 	return nil
 }
 
-func (s *Spread) ask(ctx context.Context, to, path string, in, out any) error {
+func (s *Spread) ask(ctx context.Context, to, path string, in, into any) error {
 	s.mu.Lock()
 	l := s.links
 	s.mu.Unlock()
@@ -521,10 +578,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, askWait)
 	defer cancel()
-	if raw, err = l.Ask(ctx, to, path, raw); err != nil {
+	out := len(raw)
+	raw, err = l.Ask(ctx, to, path, raw)
+	s.mu.Lock()
+	p := s.passed[to]
+	s.passed[to] = passed{p.messages + 1, p.out + int64(out), p.in + int64(len(raw))}
+	s.mu.Unlock()
+	if err != nil {
 		return err
 	}
-	if err := json.Unmarshal(raw, out); err != nil {
+	if err := json.Unmarshal(raw, into); err != nil {
 		return fmt.Errorf("%s of %s: %w", path, to, err)
 	}
 	return nil
@@ -551,7 +614,8 @@
 
 func (s *Spread) onHello(_ context.Context, from group.Sender, body []byte) ([]byte, error) {
 	return answer(s, body, func(its *hello) (hello, error) {
-		is := hello{Seen: s.copy.Seen().Sum(), Sum: s.copy.Sum()}
+		is := s.hello()
+		s.meets(from.Name, its, its.Seen == is.Seen && its.Sum == is.Sum)
 		if its.Seen == is.Seen && its.Sum == is.Sum {
 			s.heard[from.Name] = s.copy.Seen()
 			return is, nil
--- a/internal/spread/staff.go
+++ b/internal/spread/staff.go
@@ -27,6 +27,7 @@
 	Digest   string           `json:"digest"`           // the same at members that have the same words
 	Lives    int              `json:"lives"`
 	Words    []WordStatus     `json:"words"`
+	Members  []MemberStatus   `json:"members"` // this one first
 	Counters map[string]int64 `json:"counters"`
 }
 
@@ -38,6 +39,19 @@
 	Said     []Said `json:"said"`
 }
 
+// MemberStatus is a member as the one that tells has met it.
+type MemberStatus struct {
+	Name string `json:"name"`
+	About
+	Met      time.Duration `json:"met"`    // ago; below 0: never
+	Same     time.Duration `json:"same"`   // ago that it had the same as the one that tells; below 0: never
+	Behind   int           `json:"behind"` // entries that the one that tells has seen and it had not, by their number
+	Held     int           `json:"held"`
+	Messages int64         `json:"messages"` // that it was asked
+	BytesOut int64         `json:"bytes_out"`
+	BytesIn  int64         `json:"bytes_in"`
+}
+
 // Said is one word.
 type Said struct {
 	Out    bool      `json:"out"`
@@ -90,6 +104,22 @@
 	case s.disk == nil:
 		r.Unkept = errNoFolder.Error()
 	}
+	is := s.hello()
+	r.Members = []MemberStatus{{Name: s.o.Self, About: is.About, Held: is.Held}}
+	ago := func(t time.Time) time.Duration {
+		if t.IsZero() {
+			return -1
+		}
+		return time.Since(t)
+	}
+	for _, name := range slices.Sorted(slices.Values(s.o.Peers)) {
+		m, p := s.others[name], s.passed[name]
+		behind := is.Count - m.seen
+		if m.at.IsZero() {
+			behind = is.Count
+		}
+		r.Members = append(r.Members, MemberStatus{name, m.about, ago(m.at), ago(m.same), behind, m.held, p.messages, p.out, p.in})
+	}
 	for _, name := range s.copy.Names(replica.Word) {
 		all := s.copy.Get(replica.Word, name)
 		w := WordStatus{Runner: name, Out: replica.Out(all), Conflict: replica.Conflict(all)}
