Judge a choice by when it can have been made, and count how members do right after a start

The judge took five seconds for the longest way of a choice. It now asks when staff's last settled answer still had the machine as waiting; the planted fault is caught as before.

--- a/internal/lab/groups/judge.go
+++ b/internal/lab/groups/judge.go
@@ -30,7 +30,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	out := clearBreaches(s.Ledger().Attempts(), g.works)
-	out = append(out, budgetBreaches(g.works, append(g.byHand(), g.downs...), g.o.Out, s.Day().Scenario.Terms.WarmWithin)...)
+	out = append(out, budgetBreaches(g.works, append(g.byHand(), g.downs...), g.waited, g.o.Out, s.Day().Scenario.Terms.WarmWithin)...)
 	out = append(out, orderBreaches(g.seen)...)
 	out = append(out, undoneBreaches(g.seen, g.works)...)
 	out = append(out, g.wordBreaches(s)...)
@@ -134,12 +134,26 @@
 }
 
 // known is how long a worker has to be away until the group has to know it: the list's way to the members, and theirs to the
-// leader. A machine that is told to be clear was taken before: so much earlier its choice may have been.
-const known = 5 * time.Second
+// leader. A choice that rests on news before may be settled seconds later, where links are narrow.
+const known = 2 * time.Second
+
+// waited is when a settled answer was last asked for that has a machine as waiting: it was chosen after that. 0: there is none.
+func (g *rig) waited(machine string) (last time.Duration) {
+	for _, s := range g.seen {
+		for _, p := range s.status.Plans {
+			for _, m := range p.Machines {
+				if s.status.Settled && m.Name == machine && m.Step == outage.Waiting {
+					last = max(last, s.asked)
+				}
+			}
+		}
+	}
+	return last
+}
 
 // budgetBreaches are moments at which staff got one more machine than may be away: with those that they had, those given back
 // that were not warm yet, and those that had long been away by themselves.
-func budgetBreaches(works []Work, downs []down, most int, warm time.Duration) (out []judge.Breach) {
+func budgetBreaches(works []Work, downs []down, waited func(machine string) time.Duration, most int, warm time.Duration) (out []judge.Breach) {
 	for _, w := range works {
 		away := 0
 		for _, o := range works {
@@ -148,7 +162,7 @@
 			}
 		}
 		for _, d := range downs {
-			if d.from+known <= w.Told && (d.until == 0 || d.until > w.Told) {
+			if d.from+known <= waited(w.Machine) && (d.until == 0 || d.until > w.Told) {
 				away++
 			}
 		}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -290,6 +290,7 @@
 	}
 	r.countWishes(out, origin)
 	r.countWork(out)
+	out.Started = r.countStarted()
 	total := usage{}
 	for _, d := range r.dispatchers {
 		u := d.used()
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -71,6 +71,7 @@
 	Series   []Point        `json:"series"`
 	Faults   []FaultMark    `json:"faults,omitempty"`
 	Rude     *RudeLine      `json:"rude,omitempty"`
+	Started  *StartedLine   `json:"started,omitempty"`
 	Rig      Rig            `json:"rig"`
 }
 
@@ -131,6 +132,14 @@
 	NoPlace  int64 `json:"no_place"`
 }
 
+// StartedLine is how dispatchers did in the first 5 s after they started again, and the others at the same time.
+type StartedLine struct {
+	Tries       int `json:"tries"`
+	InTime      int `json:"in_time"`
+	OtherTries  int `json:"other_tries"`
+	OtherInTime int `json:"other_in_time"`
+}
+
 // Rig is the lab's own doing.
 type Rig struct {
 	LagP99  float64 `json:"lag_p99_ms"` // how late arrivals were begun
@@ -324,6 +333,9 @@
 	if u := r.Rude; u != nil {
 		row("rude clients", "%d sent: %d answered or closed, %d ignored, %d served", u.Sent, u.Answered, u.Ignored, u.Served)
 	}
+	if s := r.Started; s != nil {
+		row("right after a start", "%d of %d in time within 5 s; of the others' meanwhile %d of %d", s.InTime, s.Tries, s.OtherInTime, s.OtherTries)
+	}
 	ceiling := ""
 	if r.Rig.Ceiling > 0 {
 		ceiling = fmt.Sprintf("; ceiling %.0f requests/s straight at a worker", r.Rig.Ceiling)
