Give each run of the lab hosts of its own, and let check look whether addresses are free

Seen: one storm of 20 side by side broke the rule on answers: a worker was sent requests under ids that no client of its run had sent. Workers of all runs were hosts of one range, so a dispatcher of one run with an old list met a worker of another run under its port. Each run draws a range of the loopback now; a worker of another run is never met.

--- a/cmd/birchfork/main.go
+++ b/cmd/birchfork/main.go
@@ -65,6 +65,7 @@
 	Operator string `help:"The operator's own file, TOML." env:"BIRCHFORK_OPERATOR" placeholder:"FILE"`
 	Admin    string `name:"operator-address" help:"The operators' door, host:port, in place of the configuration's." env:"EDGE_OPERATOR" placeholder:"ADDRESS"`
 	Explain  bool   `help:"Print what is in force for each class and route, and where each figure comes from."`
+	Free     bool   `help:"Look as well whether the addresses to listen on and the group's folder are free, as a start alone finds them; a running dispatcher holds them."`
 }
 
 // Run names every fault, a line each.
@@ -77,6 +78,12 @@
 	if c.Explain && cfg.Operator == nil {
 		return errors.New("--explain tells of the operator's file: name it with --operator")
 	}
+	if c.Free {
+		if err := cfg.Free(); err != nil {
+			fmt.Fprintln(out.std, err)
+			return fmt.Errorf("%s cannot be started now", c.Config)
+		}
+	}
 	fmt.Fprintf(out.std, "%s: good: %s on %s, %d classes, %d workers known\n",
 		c.Config, cfg.Name, cfg.Listen, len(cfg.Settings.Classes), len(cfg.Known.Entries))
 	for _, u := range cfg.Unspoken {
--- a/cmd/birchfork/main_test.go
+++ b/cmd/birchfork/main_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"fmt"
+	"net"
 	"os"
 	"strings"
 	"testing"
@@ -38,6 +40,25 @@
 	}
 }
 
+// What a start would find in use is named by key, where that is asked for.
+func TestCheckLooksWhatIsFree(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	path := write(t, strings.ReplaceAll(good, `"listen":"127.0.0.1:0"`, fmt.Sprintf(`"listen":%q`, l.Addr())))
+	if status, std, err := call("check", path); status != 0 {
+		t.Errorf("without a look: %d, %q, %q", status, std, err)
+	}
+	if status, std, err := call("check", path, "--free"); status != 1 || !strings.Contains(std, "listen: ") || !strings.Contains(err, "cannot be started now") {
+		t.Errorf("%d, %q, %q", status, std, err)
+	}
+	if status, std, err := call("check", write(t, good), "--free"); status != 0 {
+		t.Errorf("all free: %d, %q, %q", status, std, err)
+	}
+}
+
 const (
 	hub = `{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":{"weight_kind":"live",
 		"report":{"how":"inline","names":["x0"]},"extra":{"report_x0":"free_slots"},"policy_limits":{"peers":true},
--- a/internal/lab/fleet/discovery.go
+++ b/internal/lab/fleet/discovery.go
@@ -119,7 +119,7 @@
 
 // listen opens a new address.
 func (a *Agent) listen() error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", ours.Host(0)+":0")
 	if err != nil {
 		return fmt.Errorf("discovery: listening: %w", err)
 	}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -118,6 +118,24 @@
 	return c, nil
 }
 
+// Free names by key each address to listen on that is in use, and a folder of the group that another process has or that is not
+// ours: what a start finds, and Load cannot tell.
+func (c *Config) Free() error {
+	var faults []error
+	for _, a := range []struct{ key, address string }{{"listen", c.Listen}, {"operator", c.Admin}} {
+		if a.address == "" {
+			continue
+		}
+		l, err := net.Listen("tcp", a.address)
+		if err != nil {
+			faults = append(faults, fmt.Errorf("%s: %w", a.key, err))
+			continue
+		}
+		l.Close()
+	}
+	return errors.Join(append(faults, c.free())...)
+}
+
 // connectSpare is for a connection to come up where the settings do not say how long that may take.
 const connectSpare = time.Second
 
--- a/internal/node/group.go
+++ b/internal/node/group.go
@@ -5,10 +5,12 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"runtime/debug"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
 
 	"birchfork/internal/council"
 	"birchfork/internal/spread"
@@ -59,6 +61,17 @@
 	return fmt.Sprintf("%016x", xxhash.Sum64(all))
 }
 
+// free tells why this configuration's place in its group cannot be taken now.
+func (c *Config) free() error {
+	g := c.group()
+	if g == nil {
+		return nil
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return council.Check(council.Options{Group: g, Self: c.Name, Log: log})
+}
+
 // takePart takes part in the group, if there is one. Its address and folder have to be free, unless another process of this
 // dispatcher may have them.
 func (n *node) takePart() error {
--- a/internal/node/group_lean.go
+++ b/internal/node/group_lean.go
@@ -9,5 +9,7 @@
 
 func (n *node) takePart() error { return nil }
 
+func (c *Config) free() error { return nil }
+
 // settingsDigest is for the members of a group.
 func settingsDigest(json.RawMessage) string { return "" }
