Keep a member with a disk of before from voting, by a note beside the disk and by what others have

A voter had come back with its disk of some seconds before, while nobody who had heard it could be reached: one was dead, one apart. With two that had missed the same it made a majority (rule: one order).

Change: a member notes beside its disk, in a file that counts for one run of the machine, how far its life has come, before any message that rests on it leaves. A disk that has less begins a new life. Where there is no such note, as after the machine's restart, a voter takes no part before so many others have told how far they are that one of them was there for whatever it has forgotten; it then gives no vote in their terms or to a shorter log, asks for none before its log is as long, and sends nothing before its lease. 'group vouch' is staff's word where too few can answer. Who waits so no longer says that it is in no group: a member without its disk took that for 'there is no plan'.

Also: the judge of words counted a word by when it was first asked for; one that a stopped member took late ended another one rightly. Put-back disks on another machine are played (put).

--- a/cmd/birchfork/outage.go
+++ b/cmd/birchfork/outage.go
@@ -37,6 +37,7 @@
 	Found  groupFound  `cmd:"" help:"Begin the group, at the member that is named; the others join it by themselves."`
 	Status groupStatus `cmd:"" help:"Say who is in, who votes, who leads and who was heard of when."`
 	Trust  groupTrust  `cmd:"" help:"Say that no machine is with staff by a plan that was forgotten when the group was founded again: plans may begin."`
+	Vouch  groupVouch  `cmd:"" help:"Say to the member that is named that its disk is the last one it had, where too few others can say so."`
 	Retire groupRetire `cmd:"" help:"Say that a member runs no more: it is waited for no longer."`
 
 	Words   groupWords   `cmd:"" help:"Say which runners staff have taken out or put back, as one member has it."`
@@ -141,6 +142,16 @@
 	return g.do(out, council.Call{Found: true, Again: g.Again})
 }
 
+type groupVouch struct{ members }
+
+// Run vouches for a member's disk.
+func (g *groupVouch) Run(out output) error {
+	if len(g.At) > 1 {
+		return errors.New("--at: one member is vouched for at a time")
+	}
+	return g.do(out, council.Call{Vouch: true})
+}
+
 type groupTrust struct{ members }
 
 // Run lets plans begin after the group was founded again.
--- a/internal/agree/agree.go
+++ b/internal/agree/agree.go
@@ -48,6 +48,8 @@
 // Options is all that an Agree is made of.
 type Options struct {
 	Disk    *Disk
+	Witness *Witness // nil: none. The loop's, as the disk is
+	Bound   *Mark    // what this life may have said and forgotten; nil: its disk has all
 	Machine Machine
 	Send    func(to uint64, raw []byte, snapshot bool) // must not wait
 	Log     logrus.FieldLogger
@@ -57,11 +59,11 @@
 type Status struct {
 	Leader  uint64 // raft id; 0: none is known
 	Leads   bool
-	Term    uint64
 	Applied uint64
-	Voters  []uint64
-	Follow  []uint64 // learners
-	Failed  string   // why it stopped; empty: it runs
+	Mark
+	Voters []uint64
+	Follow []uint64 // learners
+	Failed string   // why it stopped; empty: it runs
 }
 
 // Agree runs one member's part until Close.
@@ -141,15 +143,33 @@
 
 // Mark is how far a member has said that it has come: what its disk has to have for ever.
 type Mark struct {
-	Term uint64 `json:"term"` // it has heard of this one, and may have voted in it
-	Last uint64 `json:"last"` // it has acknowledged the entries up to this one
+	Term     uint64 `json:"term"`      // it has heard of this one, and may have voted in it
+	Last     uint64 `json:"last"`      // it has acknowledged the entries up to this one
+	LastTerm uint64 `json:"last_term"` // of that entry
+}
+
+// Older tells whether a disk with this mark has less than another one had.
+func (m Mark) Older(than Mark) bool { return m.Term < than.Term || m.shorter(than) }
+
+// shorter compares logs as raft does.
+func (m Mark) shorter(than Mark) bool {
+	return m.LastTerm < than.LastTerm || m.LastTerm == than.LastTerm && m.Last < than.Last
+}
+
+// Cover is the bound that covers both: the newer term, and the longer log.
+func (m Mark) Cover(o Mark) Mark {
+	if m.shorter(o) {
+		m.Last, m.LastTerm = o.Last, o.LastTerm
+	}
+	m.Term = max(m.Term, o.Term)
+	return m
 }
 
 // Behind tells whether a disk that has come so far has forgotten what was said.
 func (m Mark) Behind(said Mark) bool { return m.Term < said.Term || m.Last < said.Last }
 
 // Join is the mark that covers both.
-func (m Mark) Join(o Mark) Mark { return Mark{max(m.Term, o.Term), max(m.Last, o.Last)} }
+func (m Mark) Join(o Mark) Mark { return Mark{Term: max(m.Term, o.Term), Last: max(m.Last, o.Last)} }
 
 // Receive takes a message of another member's and says which raft id it is from, and how far that has come by it. It does not
 // wait: what there is no room for is lost.
@@ -263,5 +283,5 @@
 func (a *Agree) Close() error {
 	close(a.quit)
 	<-a.done
-	return a.o.Disk.Close()
+	return errors.Join(a.o.Witness.Close(), a.o.Disk.Close())
 }
--- a/internal/agree/core.go
+++ b/internal/agree/core.go
@@ -23,6 +23,7 @@
 	cutAt   uint64
 	reads   []read // that wait for a confirmation
 	asked   uint64 // the number of the read that raft was asked for last; 0: none is out
+	mark    Mark   // as the witness has it
 	ticks   int
 	beats   map[uint64]int // when a follower got its last heartbeat
 	askedAt int            // ticks ago
@@ -37,6 +38,11 @@
 // NewCore goes on from what the disk has. Where that is empty it waits to be taken into the group. seed tells its reads apart
 // from those of a process before.
 func NewCore(o Options, seed uint64) (*Core, error) {
+	if o.Bound != nil {
+		if err := o.Disk.raise(o.Bound.Term); err != nil {
+			return nil, err
+		}
+	}
 	_, conf, err := o.Disk.cache.InitialState()
 	if err != nil {
 		return nil, err
@@ -66,7 +72,7 @@
 func (c *Core) Tick(byHand bool) {
 	c.askedAt++
 	c.ticks++
-	if byHand && c.rn.BasicStatus().RaftState != raft.StateLeader {
+	if (byHand || c.short()) && c.rn.BasicStatus().RaftState != raft.StateLeader {
 		c.rn.TickQuiesced()
 	} else {
 		c.rn.Tick()
@@ -85,6 +91,9 @@
 // Step takes messages of other members, all with one synced write.
 func (c *Core) Step(all ...*raftpb.Message) {
 	for _, m := range all {
+		if c.bars(m) {
+			continue
+		}
 		if err := c.rn.Step(m); err != nil {
 			c.o.Log.WithError(err).Debug("a message of the group's was passed over")
 		}
@@ -92,6 +101,18 @@
 	c.settle()
 }
 
+// short tells whether our log has less than we may have acknowledged and forgotten: then we ask for no votes.
+func (c *Core) short() bool { return c.o.Bound != nil && c.o.Disk.Mark().shorter(*c.o.Bound) }
+
+// bars tells whether a call for our vote is to be passed over: in a term in which we may have voted, or for a log that may lack what we
+// have acknowledged. Guards against a disk of before, which votes as if it remembered.
+func (c *Core) bars(m *raftpb.Message) bool {
+	if c.o.Bound == nil || m.GetType() != raftpb.MsgVote && m.GetType() != raftpb.MsgPreVote {
+		return false
+	}
+	return m.GetTerm() <= c.o.Bound.Term || Mark{Last: m.GetIndex(), LastTerm: m.GetLogTerm()}.shorter(*c.o.Bound)
+}
+
 // Propose offers an entry, at the leader.
 func (c *Core) Propose(data []byte) error {
 	defer c.settle()
@@ -140,7 +161,7 @@
 func (c *Core) Status() Status {
 	b := c.rn.BasicStatus()
 	return Status{
-		Leader: b.Lead, Leads: b.RaftState == raft.StateLeader, Term: b.GetTerm(), Applied: c.applied,
+		Leader: b.Lead, Leads: b.RaftState == raft.StateLeader, Applied: c.applied, Mark: c.o.Disk.Mark(),
 		Voters: c.conf.GetVoters(), Follow: c.conf.GetLearners(),
 	}
 }
@@ -168,6 +189,7 @@
 		if err := c.o.Disk.save(rd.HardState, rd.Entries, rd.Snapshot); err != nil {
 			panic(err) // nothing that rests on it may leave; see Agree.guard
 		}
+		c.noted()
 		for _, m := range rd.Messages {
 			c.send(m)
 		}
@@ -189,6 +211,19 @@
 	c.cut()
 }
 
+// noted has the witness note what the disk has. One that cannot be written is taken away.
+func (c *Core) noted() {
+	m := c.o.Disk.Mark()
+	if m == c.mark {
+		return
+	}
+	c.mark = m
+	if err := c.o.Witness.saw(c.o.Disk.who.Life, m); err != nil {
+		c.o.Log.WithError(errors.Join(err, c.o.Witness.drop())).Error("after a restart this member will have to ask the others whether its disk is the last one")
+		c.o.Witness = nil
+	}
+}
+
 func (c *Core) send(m *raftpb.Message) {
 	if m.GetType() == raftpb.MsgHeartbeat && !c.beat(m) {
 		return
--- a/internal/agree/disk.go
+++ b/internal/agree/disk.go
@@ -184,6 +184,7 @@
 		m.Term = hard.GetTerm()
 	}
 	m.Last, _ = d.cache.LastIndex()
+	m.LastTerm, _ = d.cache.Term(m.Last)
 	return m
 }
 
@@ -349,6 +350,15 @@
 	return d.save(&raftpb.HardState{Term: proto.Uint64(1), Commit: proto.Uint64(1)}, nil, snap)
 }
 
+// raise has the disk be in a term at least, with no vote in it: one that may have been given there is never given again, see Core.
+func (d *Disk) raise(term uint64) error {
+	hard, _, err := d.cache.InitialState()
+	if err != nil || hard.GetTerm() >= term {
+		return err
+	}
+	return d.save(&raftpb.HardState{Term: proto.Uint64(term), Commit: proto.Uint64(hard.GetCommit())}, nil, nil)
+}
+
 // Forget takes the folder's file away, after Close: the next disk there is empty.
 func (d *Disk) Forget() error {
 	if d.db == nil {
--- a/internal/agree/disk_test.go
+++ b/internal/agree/disk_test.go
@@ -52,7 +52,7 @@
 		t.Fatal(err)
 	}
 	hard, _, _ := d.cache.InitialState()
-	if d.Who().Life != "first" || d.Who().Founded != "f" || d.Mark() != (Mark{3, 4}) || hard.GetVote() != 9 || d.Empty() {
+	if d.Who().Life != "first" || d.Who().Founded != "f" || d.Mark() != (Mark{Term: 3, Last: 4, LastTerm: 3}) || hard.GetVote() != 9 || d.Empty() {
 		t.Errorf("%+v, mark %+v, %v", d.Who(), d.Mark(), hard)
 	}
 	if _, err := OpenDisk(folder, whoever); !errors.Is(err, keep.ErrTaken) {
@@ -97,7 +97,7 @@
 			}
 		}
 		switch {
-		case d.Who().Life == "first" && d.Mark() == Mark{3, 4} && hard.GetVote() == 9 && same:
+		case d.Who().Life == "first" && d.Mark() == Mark{Term: 3, Last: 4, LastTerm: 3} && hard.GetVote() == 9 && same:
 			whole++
 		case d.Who().Life == "second" && d.Empty():
 			aside++
@@ -171,8 +171,8 @@
 		want   Mark
 		bad    bool
 	}{
-		{raftpb.MsgAppResp, 7, false, Mark{5, 9}, false}, {raftpb.MsgAppResp, 7, true, Mark{5, 0}, false},
-		{raftpb.MsgVote, 7, false, Mark{5, 0}, false}, {raftpb.MsgPreVote, 7, false, Mark{}, false},
+		{raftpb.MsgAppResp, 7, false, Mark{Term: 5, Last: 9}, false}, {raftpb.MsgAppResp, 7, true, Mark{Term: 5, Last: 0}, false},
+		{raftpb.MsgVote, 7, false, Mark{Term: 5, Last: 0}, false}, {raftpb.MsgPreVote, 7, false, Mark{}, false},
 		{raftpb.MsgPreVoteResp, 7, false, Mark{}, false}, {raftpb.MsgVote, 8, false, Mark{}, true},
 	} {
 		raw, err := proto.Marshal(&raftpb.Message{
@@ -194,7 +194,7 @@
 	for _, c := range []struct {
 		disk, said Mark
 		behind     bool
-	}{{Mark{3, 9}, Mark{3, 9}, false}, {Mark{3, 9}, Mark{4, 2}, true}, {Mark{5, 9}, Mark{4, 10}, true}, {Mark{5, 9}, Mark{}, false}} {
+	}{{Mark{Term: 3, Last: 9}, Mark{Term: 3, Last: 9}, false}, {Mark{Term: 3, Last: 9}, Mark{Term: 4, Last: 2}, true}, {Mark{Term: 5, Last: 9}, Mark{Term: 4, Last: 10}, true}, {Mark{Term: 5, Last: 9}, Mark{}, false}} {
 		if c.disk.Behind(c.said) != c.behind {
 			t.Errorf("%+v behind %+v is %t", c.disk, c.said, !c.behind)
 		}
--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -61,6 +61,7 @@
 	Deadline   time.Duration                  // the longest of a class: no attempt runs for longer
 	Arrive     time.Duration                  // from an attempt's order until its last byte has come, or never comes
 	Warm       time.Duration                  // until a started runner is warm
+	Witness    string                         // a file that does not outlive the machine's run; empty: there is none
 	Guests     []Guest                        // have our links too
 	Log        logrus.FieldLogger
 }
@@ -106,6 +107,8 @@
 
 	founding chan bool     // staff's word to begin the group here, and whether there was one before
 	strange  chan struct{} // the group does not know this life: another is to be begun
+	vouched  chan struct{} // staff's word that the disk is its last one
+	mark     agree.Mark    // that the disk had at the start
 }
 
 // report is a member's word to the leader.
@@ -207,7 +210,8 @@
 	ctx, quit := context.WithCancel(ctx)
 	defer quit()
 	c.heard = disk.Who().Heard // nobody renews yet
-	v := &voice{who: disk.Who(), began: time.Now(), founding: make(chan bool), strange: make(chan struct{}, 1)}
+	v := &voice{who: disk.Who(), began: time.Now(), founding: make(chan bool), strange: make(chan struct{}, 1),
+		vouched: make(chan struct{}), mark: disk.Mark()}
 	v.links = group.Open(group.Options{
 		Group: c.o.Group.Name, Self: c.o.Self, Peers: c.o.Group.Peers, Who: c.who, Old: c.old, Lost: c.lost, Log: c.o.Log,
 	})
@@ -225,10 +229,8 @@
 		tellUnreadable(c.o.Log, disk)
 	}
 	var loops sync.WaitGroup
-	if v.who.Founded != "" && c.forgot(ctx, v, disk) {
-		v.strange <- struct{}{}
-	} else if v.who.Founded != "" {
-		c.begin(v, disk)
+	if v.who.Founded != "" {
+		loops.Go(func() { c.goOnWith(ctx, v, disk) })
 	} else {
 		loops.Go(func() { c.enter(ctx, v, disk) })
 	}
@@ -329,10 +331,78 @@
 	return errors.Join(errs...)
 }
 
-// begin takes part in the agreement by what the disk has.
-func (c *Council) begin(v *voice, disk *agree.Disk) {
+// witness opens the note beside the disk; nil where there is none.
+func (c *Council) witness() *agree.Witness {
+	if c.o.Witness == "" {
+		return nil
+	}
+	w, err := agree.OpenWitness(c.o.Witness)
+	if err != nil {
+		c.o.Log.WithError(err).Warn("after a restart this member will have to ask the others whether its disk is the last one")
+	}
+	return w
+}
+
+// goOnWith takes part by what the disk has, once it is known not to be one of before: that would vote as if it remembered, and its
+// plans are not all. A note beside it tells, or enough others do: of those that settled an entry with this life, or elected somebody,
+// at least one is among any so many. What they have bounds what it may have said and forgotten.
+func (c *Council) goOnWith(ctx context.Context, v *voice, disk *agree.Disk) {
+	w := c.witness()
+	was, known := w.Knows(v.who.Life)
+	if plant.On(plant.TrustsDisk) {
+		c.begin(v, disk, w, nil, true)
+		return
+	}
+	voters, self := 0, false
+	for _, p := range c.o.Group.Peers {
+		if p.Voter {
+			voters++
+			self = self || p.Name == c.o.Self
+		}
+	}
+	need := voters - (voters/2 + 1) + 1
+	said := false
+	for {
+		others, forgot := c.recall(ctx, v)
+		if forgot || known && v.mark.Older(was) {
+			w.Close()
+			v.strange <- struct{}{}
+			return
+		}
+		switch {
+		case known || !self: // who has no vote needs no bound; it sends nothing before its lease
+			c.begin(v, disk, w, nil, known)
+			return
+		case len(others) >= need:
+			bound := agree.Mark{}
+			for _, m := range others {
+				bound = bound.Cover(m)
+			}
+			c.begin(v, disk, w, &bound, false)
+			return
+		}
+		if !said {
+			said = true
+			c.o.Log.WithFields(logrus.Fields{"heard": len(others), "needed": need}).
+				Warn("nothing tells whether this member's disk is its last one: it takes no part before enough other voters have answered, or group vouch")
+		}
+		select {
+		case <-ctx.Done():
+			w.Close()
+			return
+		case <-v.vouched:
+			c.begin(v, disk, w, nil, true)
+			return
+		case <-time.After(joinEvery):
+		}
+	}
+}
+
+// begin takes part in the agreement by what the disk has. bound is what it may have said and forgotten; proven tells that there is no
+// such thing.
+func (c *Council) begin(v *voice, disk *agree.Disk, w *agree.Witness, bound *agree.Mark, proven bool) {
 	who := disk.Who() // from the start on the disk is the loop's
-	a, err := agree.Start(agree.Options{Disk: disk, Machine: c, Send: c.send, Log: c.o.Log})
+	a, err := agree.Start(agree.Options{Disk: disk, Witness: w, Bound: bound, Machine: c, Send: c.send, Log: c.o.Log})
 	if err != nil {
 		c.o.Log.WithError(err).Error("this member takes no part in the group's agreement; it serves on")
 		return
@@ -340,37 +410,43 @@
 	c.mu.Lock()
 	v.agree, v.who = a, who
 	c.mu.Unlock()
-	if disk.Kept() && who.Heard {
+	if disk.Kept() && who.Heard && proven {
 		// Guards against a disk that has a vote and no plan yet: what it has is not enough, it has to have been confirmed once.
 		// From then on no plan has begun that this life did not confirm.
 		c.o.Dispatcher.Blind(false)
 	}
 }
 
-// forgot asks the others whether our disk is older than what this life has said: such a one would vote as if it remembered.
-// Nobody is waited for: where none that heard us can be reached it does not show.
-func (c *Council) forgot(ctx context.Context, v *voice, disk *agree.Disk) bool {
-	ask, err := json.Marshal(disk.Mark())
+// recall asks the others whether our disk is older than what this life has said to them, and how far they are: voters' answers, by
+// name.
+func (c *Council) recall(ctx context.Context, v *voice) (others map[string]agree.Mark, forgot bool) {
+	others = map[string]agree.Mark{}
+	ask, err := json.Marshal(v.mark)
 	if err != nil {
-		return false
+		return others, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, recallWait)
 	defer cancel()
-	var old atomic.Bool
+	var mu sync.Mutex
 	var all sync.WaitGroup
 	for _, p := range c.o.Group.Peers {
 		if p.Name == c.o.Self {
 			continue
 		}
 		all.Go(func() {
+			raw, err := c.ask(ctx, v, p.Name, pathRecall, ask)
 			var no *group.Refused
-			if _, err := c.ask(ctx, v, p.Name, pathRecall, ask); errors.As(err, &no) && no.Text == forgotText {
-				old.Store(true)
+			var its agree.Mark
+			mu.Lock()
+			defer mu.Unlock()
+			forgot = forgot || errors.As(err, &no) && no.Text == forgotText
+			if err == nil && json.Unmarshal(raw, &its) == nil && its.Term > 0 && p.Voter {
+				others[p.Name] = its
 			}
 		})
 	}
 	all.Wait()
-	return old.Load()
+	return others, forgot
 }
 
 // enter asks the others to be taken in, until it is.
@@ -410,7 +486,7 @@
 				c.o.Log.WithError(err).Error("the group's folder cannot be written")
 				continue
 			}
-			c.begin(v, disk)
+			c.begin(v, disk, c.witness(), nil, true)
 			c.o.Log.WithField("founded", is.Founded).Info("this member was taken into the group")
 			return
 		}
--- a/internal/council/council_test.go
+++ b/internal/council/council_test.go
@@ -82,6 +82,7 @@
 	group   config.Group
 	at      []string
 	folders []string
+	marks   []string // the witnesses of their disks
 	hands   []*hand
 	guests  []*guest
 	all     []*Council
@@ -103,7 +104,7 @@
 		r.at = append(r.at, l.Addr().String())
 		l.Close()
 		r.group.Peers = append(r.group.Peers, group.Peer{Name: fmt.Sprint("d", i), Link: r.at[i], Voter: true})
-		r.folders = append(r.folders, t.TempDir())
+		r.folders, r.marks = append(r.folders, t.TempDir()), append(r.marks, filepath.Join(t.TempDir(), "mark"))
 		r.hands, r.guests = append(r.hands, &hand{}), append(r.guests, &guest{})
 	}
 	return r
@@ -117,6 +118,7 @@
 	r.all[i] = Start(Options{
 		Group: &own, Self: fmt.Sprint("d", i), Dispatcher: r.hands[i], Beside: r.hands[i].beside,
 		Guests: []Guest{r.guests[i]}, Deadline: 60 * time.Millisecond, Arrive: 40 * time.Millisecond, Warm: 100 * time.Millisecond, Log: quiet(),
+		Witness: r.marks[i],
 	})
 	return r.all[i]
 }
@@ -529,7 +531,7 @@
 func TestADiskIsTrustedOnceTheGroupHasSpoken(t *testing.T) {
 	for _, heard := range []bool{false, true} {
 		g := config.Group{Name: "g", Plans: true, Lease: time.Second, Folder: t.TempDir(), Peers: []group.Peer{
-			{Name: "d0", Link: "127.83.8.1:0"}, {Name: "d1", Link: "127.83.8.2:1"},
+			{Name: "d0", Link: "127.83.8.1:0", Voter: true}, {Name: "d1", Link: "127.83.8.2:1"},
 		}}
 		d, err := agree.OpenDisk(g.Folder, agree.Identity{Group: "g", Name: "d0", Life: "l", ID: 7})
 		if err == nil {
@@ -546,7 +548,9 @@
 			Group: &g, Self: "d0", Dispatcher: h, Beside: func() (int, bool) { return 0, false }, Deadline: time.Second, Log: quiet(),
 		})
 		for end := time.Now().Add(10 * time.Second); c.agreement() == nil && time.Now().Before(end); {
-			time.Sleep(time.Millisecond)
+			if c.vouch().Code != outage.Yes { // nobody else can tell whether the disk is its last one
+				time.Sleep(10 * time.Millisecond)
+			}
 		}
 		c.Close() // from here nothing changes
 		if _, _, _, blind := h.see(); blind == heard {
--- a/internal/council/member.go
+++ b/internal/council/member.go
@@ -35,6 +35,7 @@
 var (
 	errOutside  = errors.New(outsideText)
 	errNotLead  = errors.New("no leader can be reached")
+	errWaits    = errors.New("this member does not know yet whether its disk is its last one")
 	errBound    = errors.New("attempts may run for longer than what is settled; that is settled first")
 	errStranger = &group.Refused{Text: "no member under this life: ask to be taken in"}
 )
@@ -70,7 +71,13 @@
 		if said := c.marks[from.Life]; has.Behind(said) {
 			return nil, &group.Refused{Text: forgotText}
 		}
-		return nil, nil
+		if c.voice == nil || c.voice.who.Founded == "" {
+			return nil, &group.Refused{Text: outsideText}
+		}
+		if c.voice.agree != nil {
+			return json.Marshal(c.voice.agree.Status().Mark)
+		}
+		return json.Marshal(c.voice.mark)
 	})
 	for path, h := range c.toLeader() {
 		l.Handle(path, func(ctx context.Context, from group.Sender, body []byte) ([]byte, error) {
@@ -108,9 +115,12 @@
 	c.mu.Lock()
 	v := c.voice
 	c.mu.Unlock()
-	if v == nil || c.agreement() == nil {
+	if v == nil || c.agreement() == nil && c.who().Founded == "" {
 		return nil, &group.Refused{Text: outsideText}
 	}
+	if c.agreement() == nil { // who is in a group and waits must not be taken for one that knows of no plan
+		return nil, errWaits
+	}
 	to := c.leader()
 	if to == "" || to == c.o.Self {
 		return nil, errNotLead
--- a/internal/council/staff.go
+++ b/internal/council/staff.go
@@ -23,6 +23,7 @@
 	Check   bool            `json:"check,omitempty"`  // only look whether a plan could be handed in
 	Found   bool            `json:"found,omitempty"`  // begin the group here
 	Again   bool            `json:"again,omitempty"`  // ... which had a history that is lost: no plan begins before Trust
+	Vouch   bool            `json:"vouch,omitempty"`  // this member's disk is the last one that it had
 	Status  bool            `json:"status,omitempty"` // tell how things stand
 	Local   bool            `json:"local,omitempty"`  // ... by what this member knows
 }
@@ -99,6 +100,9 @@
 	if call.Found {
 		return json.Marshal(c.found(ctx, call.Again))
 	}
+	if call.Vouch {
+		return json.Marshal(c.vouch())
+	}
 	if call.Status && call.Local {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -362,6 +366,22 @@
 	return s
 }
 
+// vouch takes staff's word that our disk is the last one that we had.
+func (c *Council) vouch() Reply {
+	c.mu.Lock()
+	v := c.voice
+	c.mu.Unlock()
+	if v == nil {
+		return Reply{Code: outage.NotNow, Text: "this process does not speak for its dispatcher in the group"}
+	}
+	select {
+	case v.vouched <- struct{}{}:
+		return Reply{Text: "taken"}
+	case <-time.After(joinEvery + askWait):
+		return Reply{Code: outage.NotNow, Text: "this member does not wait for a word on its disk"}
+	}
+}
+
 // found begins the group at this member. The others join it.
 func (c *Council) found(ctx context.Context, again bool) Reply {
 	c.mu.Lock()
@@ -420,6 +440,6 @@
 	if err := agree.Found(disk, rand.Text()[:10], raw); err != nil {
 		return err
 	}
-	c.begin(v, disk)
+	c.begin(v, disk, c.witness(), nil, true)
 	return nil
 }
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -136,6 +136,14 @@
 	return filepath.Join(p.dir, claimPrefix+strconv.FormatInt(p.number, 10)+"-"+strconv.Itoa(os.Getpid()))
 }
 
+// Folder is what the processes of this dispatcher share, on the same machine; empty where nothing is shared.
+func (p *Process) Folder() string {
+	if p.claim == nil {
+		return ""
+	}
+	return p.dir
+}
+
 // Number tells processes of one dispatcher apart; 0 where nothing is shared.
 func (p *Process) Number() int64 { return p.number }
 
--- a/internal/lab/groups/groups.go
+++ b/internal/lab/groups/groups.go
@@ -47,6 +47,7 @@
 	Crash  = "crash"  // ... as when its machine goes down: temporary files are lost
 	Wipe   = "wipe"   // ... and with an empty disk
 	Old    = "old"    // it works on, is killed, and started again with the disk that it had at the fault's beginning
+	Put    = "put"    // as old, on another machine: temporary files are lost too
 	Alien  = "alien"  // killed, and started again with the words that the next member's disk has
 	Term   = "term"   // its process ends in order and is started again
 	Renew  = "renew"  // a process starts beside it, and takes its place
@@ -65,7 +66,7 @@
 var ofWorkers = map[string]bool{Down: true, Hang: true}
 
 // Kinds are all kinds of faults that a storm draws.
-var Kinds = []string{Cut, Deaf, Mute, Apart, Flap, Reset, Slow, Narrow, Torn, Stop, Kill, Crash, Wipe, Old, Alien, Term, Renew, Halves, Thirds, Ring, Far, Unlist, Spoilt, Errs, Down, Hang}
+var Kinds = []string{Cut, Deaf, Mute, Apart, Flap, Reset, Slow, Narrow, Torn, Stop, Kill, Crash, Wipe, Old, Put, Alien, Term, Renew, Halves, Thirds, Ring, Far, Unlist, Spoilt, Errs, Down, Hang}
 
 // Fault is one fault of the timetable.
 type Fault struct {
@@ -695,7 +696,7 @@
 	if f.Member < 0 {
 		f.Member = g.leader()
 	}
-	if slices.Contains([]string{Stop, Kill, Crash, Wipe, Old, Alien, Term, Renew}, f.Kind) {
+	if slices.Contains([]string{Stop, Kill, Crash, Wipe, Old, Put, Alien, Term, Renew}, f.Kind) {
 		if !g.seize(&f) {
 			return
 		}
@@ -733,10 +734,15 @@
 		g.stage.Kill(ctx, f.Member, f.For, nil)
 	case Wipe:
 		g.stage.Kill(ctx, f.Member, f.For, loses(func() { os.RemoveAll(g.folder(f.Member)); os.RemoveAll(g.temporary(f.Member)) }))
-	case Old:
+	case Old, Put:
 		was := g.read(f.Member, "group.db", "words.db")
 		sleep(ctx, f.For)
-		g.stage.Kill(ctx, f.Member, 0, loses(func() { g.write(f.Member, was) }))
+		g.stage.Kill(ctx, f.Member, 0, loses(func() {
+			g.write(f.Member, was)
+			if f.Kind == Put {
+				os.RemoveAll(g.temporary(f.Member))
+			}
+		}))
 	case Alien:
 		g.stage.Kill(ctx, f.Member, f.For, loses(func() { g.write(f.Member, g.read((f.Member+1)%len(g.real), "words.db")) }))
 	case Term:
@@ -821,10 +827,10 @@
 		return false
 	}
 	now := g.stage.Ledger().Now()
-	if (f.Kind == Wipe || f.Kind == Old) && g.wiped > 0 && now-g.wiped < wipesApart {
+	if (f.Kind == Wipe || f.Kind == Old || f.Kind == Put) && g.wiped > 0 && now-g.wiped < wipesApart {
 		f.Kind = Kill
 	}
-	if f.Kind == Wipe || f.Kind == Old {
+	if f.Kind == Wipe || f.Kind == Old || f.Kind == Put {
 		g.wiped = now + f.For
 	}
 	g.busy[f.Member] = true
--- a/internal/lab/groups/words.go
+++ b/internal/lab/groups/words.go
@@ -123,7 +123,7 @@
 func (g *rig) losable(w *spoken) bool {
 	around := g.calm(w.came) + spreadWithin
 	return slices.ContainsFunc(g.had, func(f Fault) bool {
-		return slices.Contains([]string{Wipe, Old, Alien}, f.Kind) && f.Member == w.Member && f.At < around && (f.lost == 0 || f.lost > w.asked)
+		return slices.Contains([]string{Wipe, Old, Put, Alien}, f.Kind) && f.Member == w.Member && f.At < around && (f.lost == 0 || f.lost > w.asked)
 	}) || g.o.Diskless
 }
 
@@ -139,11 +139,11 @@
 		breach("not taken", s.Ledger().Now(), -1, "%d of %d words were answered yes", len(g.spoken), len(g.o.Words))
 	}
 	slices.SortFunc(g.spoken, func(a, b spoken) int { return int(a.asked - b.asked) })
-	for i, w := range g.spoken {
-		until := s.Ledger().Now() // a word back ends this one, unless it was surely said without sight of it
-		for _, o := range g.spoken[i+1:] {
-			if o.Worker == w.Worker && !o.Out && !g.parted(w.Member, o.Member, w.asked, o.asked) {
-				until = min(until, o.asked)
+	for _, w := range g.spoken {
+		until := s.Ledger().Now() // a word back ends this one, unless it was surely said before, or without sight of it
+		for _, o := range g.spoken {
+			if o.Worker == w.Worker && !o.Out && o.came > w.asked && !g.parted(w.Member, o.Member, w.asked, o.came) {
+				until = min(until, max(o.asked, w.asked))
 			}
 		}
 		if !w.Out || g.losable(&w) {
@@ -182,19 +182,8 @@
 			breach("not one", t.asked, i, "it has %s, dispatcher 0 %s", wordsOf(t.reply), wordsOf(first))
 		}
 		for worker := range s.Day().Workers {
-			var last *spoken
-			sure := true // the last word was said when all the others had got around
-			for k := range g.spoken {
-				if w := &g.spoken[k]; w.Worker == worker {
-					if last != nil && g.calm(last.came)+spreadWithin > w.asked {
-						sure = false
-					} else {
-						sure = true
-					}
-					last = w
-				}
-			}
-			if last == nil || !last.Out && !sure || losable[worker] {
+			last, sure := g.lastOn(worker)
+			if last == nil || !sure || losable[worker] {
 				continue
 			}
 			is := slices.ContainsFunc(t.reply.Words, func(w spread.WordStatus) bool { return w.Runner == last.name && w.Out })
@@ -206,6 +195,29 @@
 	return out
 }
 
+// lastOn is the word on a worker that was said last, and whether that is sure: all others had got around when it was said, or it says
+// "out" and none that was answered since says "back". The lock is held.
+func (g *rig) lastOn(worker int) (last *spoken, sure bool) {
+	for i := range g.spoken {
+		if w := &g.spoken[i]; w.Worker == worker {
+			last = w
+		}
+	}
+	if last == nil {
+		return nil, false
+	}
+	for i := range g.spoken {
+		w := &g.spoken[i]
+		if w == last || w.Worker != worker {
+			continue
+		}
+		if g.calm(w.came)+spreadWithin > last.asked && (!last.Out || !w.Out && w.came > last.asked) {
+			return last, false
+		}
+	}
+	return last, true
+}
+
 func wordsOf(r *spread.Reply) string {
 	var all []string
 	for _, w := range r.Words {
--- a/internal/node/group.go
+++ b/internal/node/group.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"path/filepath"
 	"runtime/debug"
 	"sync"
 
@@ -84,6 +85,9 @@
 		Warm: n.config.warm(), Log: n.log.WithField("part", "group"),
 		Beside: func() (int, bool) { return int(n.beside.Load()), n.newer.Load() }, // as of the last look: see share
 	}
+	if dir := n.process.Folder(); dir != "" {
+		o.Witness = filepath.Join(dir, "group.mark")
+	}
 	if n.beside.Load() == 0 {
 		if err := council.Check(o); err != nil {
 			return err
--- a/internal/plant/lean.go
+++ b/internal/plant/lean.go
@@ -25,6 +25,7 @@
 	LeavesAlone   = ""
 	KeepsMum      = ""
 	Older         = ""
+	TrustsDisk    = ""
 	CountAgain    = ""
 	ClockWins     = ""
 	ClocksApart   = ""
