End a process though its disk stands still, and let what a silent member saw lapse

Change: the end of a process waits 100 ms for its part in the group and leaves the rest as a kill would. Words are written by a loop of their own, batch by batch; staff's yes waits for its batch, for 3 s at the most, and then says that it is not kept yet. What a member that fell silent saw of runners counts as long as the member itself is waited for, 6 s at the least; staff's words count on.

The rig gives what it stood still itself to the time in which a process has to end, and measures its lag to the end of the run.

--- a/internal/agree/disk.go
+++ b/internal/agree/disk.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"syscall"
 	"time"
 
 	"go.etcd.io/bbolt"
@@ -76,9 +75,6 @@
 	return d, nil
 }
 
-// diskLasts is how long a disk takes writes that fails by plan.
-const diskLasts = 6 * time.Second
-
 // load reads the file into the cache, or writes who it belongs to. A file that is not ours stays as it is.
 func (d *Disk) load() error {
 	fresh := false
@@ -212,8 +208,8 @@
 	if hard == nil && snap == nil && len(entries) == 0 {
 		return nil
 	}
-	if plant.On(plant.DiskFails) && time.Since(d.opened) > diskLasts {
-		return fmt.Errorf("the group's disk: %w", syscall.ENOSPC)
+	if err := plant.Write(d.opened); err != nil {
+		return err
 	}
 	if d.db != nil {
 		if err := d.db.Update(func(tx *bbolt.Tx) error { return write(tx, hard, entries, snap) }); err != nil {
--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -35,6 +35,7 @@
 	leadEvery  = 100 * time.Millisecond
 	renewPart  = 6                      // tries in the time of a lease
 	idleEvery  = 2 * time.Second        // between words to the leader where nothing needs a lease
+	sightWords = 3                      // words missed that a member sends at the least, until what it has seen of runners lapses
 	askWait    = time.Second            // for the leader's answer
 	recallWait = 500 * time.Millisecond // for the others to say what they heard of us
 	settleWait = 2 * time.Second        // for a call of staff to be settled
--- a/internal/council/member.go
+++ b/internal/council/member.go
@@ -432,13 +432,20 @@
 		}
 		adv.Words[name] = h.Word
 		adv.Bound, adv.Warm = max(adv.Bound, h.Bound), max(adv.Warm, h.Warm)
-		mark(h.Down, func(r *outage.Runner) { r.Down = true })
-		mark(h.Cold, func(r *outage.Runner) { r.Cold = true })
+		// What staff said stays; what one that fell silent saw last is old by then, and would keep a plan for ever.
+		if time.Since(h.at) < c.sightLasts() {
+			mark(h.Down, func(r *outage.Runner) { r.Down = true })
+			mark(h.Cold, func(r *outage.Runner) { r.Cold = true })
+		}
 		mark(h.Hand, func(r *outage.Runner) { r.Hand = true })
 	}
 	return adv
 }
 
+// sightLasts is how long what a member has seen of runners counts: as long as a silent one is waited for, and some words at least.
+// The lock is held.
+func (c *Council) sightLasts() time.Duration { return max(c.state.Bound, sightWords*idleEvery) }
+
 // tend keeps who votes as the file has it: one settled change at a time.
 func (c *Council) tend(ctx context.Context, a *agree.Agree) {
 	s := a.Status()
--- a/internal/lab/groups/groups.go
+++ b/internal/lab/groups/groups.go
@@ -189,6 +189,9 @@
 			if o.Failing > 0 && name == fmt.Sprintf("d%d", o.Failing) {
 				fault = plant.DiskFails
 			}
+			if o.Stalling > 0 && name == fmt.Sprintf("d%d", o.Stalling) {
+				fault = plant.DiskStalls
+			}
 			g.mu.Lock()
 			if g.starts[name]++; o.Older > 0 && name == fmt.Sprintf("d%d", o.Older) && g.starts[name] == 1 {
 				fault = plant.Older
--- a/internal/lab/groups/scenarios.go
+++ b/internal/lab/groups/scenarios.go
@@ -32,6 +32,7 @@
 	Storm    int           `toml:"storm"`    // further faults, drawn from the seed
 	Say      int           `toml:"say"`      // further words of staff, drawn from the seed
 	Failing  int           `toml:"failing"`  // the member whose disk takes nothing any more after a while; 0: none
+	Stalling int           `toml:"stalling"` // the member whose disk takes seconds for each synced write after a while; 0: none
 	Plant    string        `toml:"plant"`    // a fault that is switched on in every member ...
 	Caught   string        `toml:"caught"`   // ... and the rule that has to break by it
 	Faults   []Fault       `toml:"fault"`
@@ -89,6 +90,9 @@
 	if s.Failing < 0 || s.Failing >= max(s.Members, 1) {
 		fault("failing", "there is no member %d", s.Failing)
 	}
+	if s.Stalling < 0 || s.Stalling >= max(s.Members, 1) {
+		fault("stalling", "there is no member %d", s.Stalling)
+	}
 	if s.Plant != "" && s.Plant != plant.ClocksApart && !slices.Contains(plant.Names, s.Plant) {
 		fault("plant", "%q is none of %s", s.Plant, strings.Join(plant.Names, ", "))
 	}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -165,8 +165,9 @@
 func (r *run) play(ctx context.Context, progress func(done, all int)) {
 	during, over := context.WithCancel(ctx)
 	defer over()
+	watched, unwatch := context.WithCancel(context.WithoutCancel(ctx))
 	watch := make(chan struct{})
-	go func() { defer close(watch); r.watch(during, progress) }()
+	go func() { defer close(watch); r.watch(watched, progress) }()
 	r.load.Lag = func(d time.Duration) { r.lag.Add(max(d, 0)) }
 	r.troubles = &troubles{run: r}
 	done := make(chan struct{})
@@ -186,13 +187,14 @@
 		}
 	}
 	over()
-	<-watch
 	r.troubles.waits.Wait()
 	time.Sleep(stragglers)
 	for _, d := range r.dispatchers {
 		d.sample()
 	}
 	r.stopAll()
+	unwatch()
+	<-watch
 }
 
 // watch measures the rig's own lag, and what the dispatchers use.
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -266,12 +266,19 @@
 	}
 }
 
-// gone waits for the end of a process that was told to end.
+// gone waits for the end of a process that was told to end. What stands still with us, as on a host that has other work, does not
+// count: of a moment between two beats a beat counts.
 func (d *dispatcher) gone(p *process, within time.Duration) {
-	select {
-	case <-p.done:
-		return
-	case <-time.After(within):
+	beat := time.NewTicker(lagEvery)
+	defer beat.Stop()
+	for last, waited := time.Now(), time.Duration(0); waited < within; {
+		select {
+		case <-p.done:
+			return
+		case now := <-beat.C:
+			waited += min(now.Sub(last), 2*lagEvery)
+			last = now
+		}
 	}
 	d.mu.Lock()
 	p.ended = judge.Overstayed
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -51,6 +51,7 @@
 	graceSpare  = 700 * time.Millisecond // ... and so much more
 	stopSpare   = 250 * time.Millisecond // we answer the last request so much sooner
 	closeWithin = 100 * time.Millisecond // for the last answers to be written
+	partWithin  = 100 * time.Millisecond // for our part in the group to end in order: its disk may stand still
 	yieldQuiet  = 300 * time.Millisecond // beside a process that serves: until idle connections are closed
 )
 
@@ -436,6 +437,22 @@
 	}
 }
 
+// leavePart ends our part in the group and what processes of this dispatcher share, and waits for no disk that stands still: what
+// staff were told is synced, and the rest is left as by a kill.
+func (n *node) leavePart() {
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		n.closePart()
+		n.sharing.Wait()
+	}()
+	select {
+	case <-left:
+	case <-time.After(partWithin):
+		n.log.Warn("this process ends before its part in the group has: the disk takes long")
+	}
+}
+
 // end answers what is left and closes all.
 func (n *node) end() error {
 	n.front.Hurry()
@@ -447,8 +464,7 @@
 		n.door.Close(ctx)
 	}
 	n.quit()
-	n.closePart()
-	n.sharing.Wait()
+	n.leavePart()
 	n.process.Close()
 	n.store.Close()
 	n.pool.Close()
--- a/internal/plant/lean.go
+++ b/internal/plant/lean.go
@@ -32,6 +32,7 @@
 	EarlyYes      = ""
 	Overwrites    = ""
 	DiskFails     = ""
+	DiskStalls    = ""
 )
 
 // Skew is how far a member's wall clock is off: it never is.
@@ -39,3 +40,6 @@
 
 // On tells whether a fault is switched on: none ever is.
 func On(string) bool { return false }
+
+// Write is what becomes of a synced write by plan: nothing.
+func Write(time.Time) error { return nil }
--- a/internal/plant/plant.go
+++ b/internal/plant/plant.go
@@ -4,7 +4,11 @@
 // lab's own command sets one; a lean build has none of it.
 package plant
 
-import "time"
+import (
+	"fmt"
+	"syscall"
+	"time"
+)
 
 // The faults, by name. What each breaks stands where it is asked for.
 const (
@@ -33,6 +37,7 @@
 	TrustsDisk    = "trusts-disk"    // a member takes its disk for its last one, whatever it is
 	Older         = "older"          // no fault of ours: a build of before, which knows less of settled entries
 	DiskFails     = "disk-fails"     // no fault of ours: some seconds after its start the disk takes nothing any more
+	DiskStalls    = "disk-stalls"    // no fault of ours: some seconds after its start each synced write takes seconds
 )
 
 // Names are all faults of ours.
@@ -56,3 +61,21 @@
 
 // On tells whether a fault is switched on.
 func On(name string) bool { return on == name }
+
+// How disks fail by plan: so long after they were opened, and how long a write takes from then on.
+const (
+	diskLasts  = 6 * time.Second
+	diskStalls = 5 * time.Second
+)
+
+// Write is what becomes of a synced write to a disk that was opened then: it fails, or takes seconds, if that is switched on.
+func Write(opened time.Time) error {
+	if (!On(DiskFails) && !On(DiskStalls)) || time.Since(opened) < diskLasts {
+		return nil
+	}
+	if On(DiskFails) {
+		return fmt.Errorf("the group's disk: %w", syscall.ENOSPC)
+	}
+	time.Sleep(diskStalls)
+	return nil
+}
--- a/internal/spread/disk.go
+++ b/internal/spread/disk.go
@@ -4,10 +4,15 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
+	"runtime/debug"
+	"sync"
+	"time"
 
 	"go.etcd.io/bbolt"
 
 	"birchfork/internal/keep"
+	"birchfork/internal/plant"
 	"birchfork/internal/replica"
 )
 
@@ -31,11 +36,29 @@
 	Group  string `json:"group"`
 }
 
-// disk keeps a copy's entries with what it has seen: both in one synced step. A nil one keeps nothing.
-type disk struct{ db *bbolt.DB }
+// disk keeps a copy's entries with what it has seen: both in one synced step. Its loop writes: a disk that stands still holds up
+// nobody but who waits for a batch. A nil one keeps nothing.
+type disk struct {
+	db     *bbolt.DB
+	opened time.Time
+	told   func(*disk, *batch) // hears of each batch that was tried
+	wake   chan struct{}
+	done   chan struct{}
+
+	mu   sync.Mutex
+	next *batch // nil: nothing waits
+}
+
+// batch is what is written in one synced step.
+type batch struct {
+	seen    []byte
+	entries map[string][]byte // by name; nil: it has none any more
+	tried   chan struct{}     // closed once err is known
+	err     error
+}
 
 // openDisk opens the file and gives what it has to a copy; with no folder nothing is kept.
-func openDisk(folder, group string, to *replica.Copy) (d *disk, unreadable, err error) {
+func openDisk(folder, group string, to *replica.Copy, told func(*disk, *batch)) (d *disk, unreadable, err error) {
 	if folder == "" {
 		return nil, nil, nil
 	}
@@ -62,7 +85,9 @@
 		db.Close()
 		return nil, nil, fmt.Errorf("the group's words: %w", err)
 	}
-	return &disk{db}, unreadable, nil
+	d = &disk{db: db, opened: time.Now(), told: told, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	go d.loop()
+	return d, unreadable, nil
 }
 
 func read(meta, all *bbolt.Bucket, ours identity, seen *replica.Seen, entries *[]replica.Entry) error {
@@ -106,49 +131,96 @@
 	return keep.Seal(raw), err
 }
 
-// write keeps what a copy has of some names, and what it has seen.
-func (d *disk) write(c *replica.Copy, names map[string]bool) error {
-	if d == nil {
-		return nil
+// put hands over what a copy has of some names, and what it has seen, behind what waits already.
+func (d *disk) put(c *replica.Copy, names map[string]bool) (*batch, error) {
+	seen, err := seal(c.Seen())
+	if err != nil {
+		return nil, err
+	}
+	entries := map[string][]byte{}
+	for name := range names {
+		entries[name] = nil
+		if all := c.Get(replica.Word, name); len(all) > 0 {
+			if entries[name], err = seal(all); err != nil {
+				return nil, err
+			}
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.next == nil {
+		d.next = &batch{entries: map[string][]byte{}, tried: make(chan struct{})}
+	}
+	d.next.seen = seen
+	maps.Copy(d.next.entries, entries)
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+	return d.next, nil
+}
+
+// loop writes one batch after the other, until close.
+func (d *disk) loop() {
+	defer close(d.done)
+	for range d.wake {
+		d.mu.Lock()
+		b := d.next
+		d.next = nil
+		d.mu.Unlock()
+		if b == nil {
+			continue
+		}
+		b.err = d.write(b)
+		d.told(d, b)
+		close(b.tried)
 	}
-	err := d.db.Update(func(tx *bbolt.Tx) error {
-		seen, err := seal(c.Seen())
+}
+
+// write writes a batch. Guards against a file that was torn since it was opened: the access faults, which would end the process.
+func (d *disk) write(b *batch) (err error) {
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer func() {
+		if v := recover(); v != nil {
+			err = fmt.Errorf("it cannot be read any more: %v", v)
+		}
 		if err != nil {
-			return err
+			err = fmt.Errorf("the group's disk: %w", err)
 		}
-		if err := tx.Bucket(metaBucket).Put(seenKey, seen); err != nil {
+	}()
+	if err := plant.Write(d.opened); err != nil {
+		return err
+	}
+	return d.db.Update(func(tx *bbolt.Tx) error {
+		if err := tx.Bucket(metaBucket).Put(seenKey, b.seen); err != nil {
 			return err
 		}
 		to := tx.Bucket(entryBucket)
-		for name := range names {
-			all := c.Get(replica.Word, name)
-			if len(all) == 0 {
+		for name, raw := range b.entries {
+			if raw == nil {
 				if err := to.Delete([]byte(name)); err != nil {
 					return err
 				}
-				continue
-			}
-			raw, err := seal(all)
-			if err != nil {
-				return err
-			}
-			if err := to.Put([]byte(name), raw); err != nil {
+			} else if err := to.Put([]byte(name), raw); err != nil {
 				return err
 			}
 		}
 		return nil
 	})
-	if err != nil {
-		return fmt.Errorf("the group's disk: %w", err)
-	}
-	return nil
 }
 
+// close writes what waits and gives the file back. Nothing may be put any more.
 func (d *disk) close() error {
 	if d == nil {
 		return nil
 	}
+	close(d.wake)
+	<-d.done
 	return d.db.Close()
 }
 
-var errNoFolder = errors.New("[group] has no folder")
+// Why a word is not kept.
+var (
+	errNoFolder = errors.New("[group] has no folder")
+	errSlow     = fmt.Errorf("its disk has not taken it in %v; it may yet", syncWait)
+)
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -28,6 +28,7 @@
 const (
 	roundEvery = time.Second     // between rounds while nothing is new
 	askWait    = time.Second     // for a member's answer
+	syncWait   = 3 * time.Second // for the disk to take a word: then staff hear that it has not yet
 	fan        = 3               // members that news goes to at once
 	pieceMost  = 200             // entries of a piece, some 40 kB
 	pullsMost  = 4               // members that are asked at a time
@@ -89,8 +90,10 @@
 	mu      sync.Mutex
 	copy    *replica.Copy // nil: another process of this dispatcher has it
 	disk    *disk
-	dirty   map[string]bool // names that the disk may not have
-	synced  uint64          // what was seen, as the disk has it
+	dirty   map[string]bool // names that the disk was not given, or did not take
+	given   uint64          // what was seen, as the disk was given it
+	refused bool            // it did not take that
+	last    *batch          // that it was given
 	unkept  error           // why the disk may not have them
 	heard   map[string]replica.Seen
 	pulls   map[string]*replica.Pull
@@ -129,7 +132,7 @@
 		life = s.o.Self
 	}
 	c := replica.New(life)
-	d, unreadable, err := openDisk(s.o.Folder, s.o.Group, c)
+	d, unreadable, err := openDisk(s.o.Folder, s.o.Group, c, s.wrote)
 	if errors.Is(err, keep.ErrTaken) || errors.Is(err, keep.ErrForeign) {
 		return err
 	}
@@ -140,7 +143,8 @@
 		s.unkept = err
 		s.o.Log.WithError(err).Error("the group's folder cannot be used: words are not kept over a restart of this member")
 	}
-	s.copy, s.disk, s.dirty, s.synced = c, d, map[string]bool{}, c.Seen().Sum()
+	s.copy, s.disk, s.dirty, s.given, s.refused = c, d, map[string]bool{}, c.Seen().Sum(), false
+	s.last = nil
 	s.heard, s.pulls, s.asking, s.caught = map[string]replica.Seen{}, map[string]*replica.Pull{}, map[string]bool{}, map[string]bool{}
 	s.first = time.Time{}
 	s.known, s.before, s.settled = map[string]int64{}, map[string]bool{}, false
@@ -178,82 +182,114 @@
 func (s *Spread) Leave() {
 	s.quit()
 	<-s.done
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.links = nil
-	s.shut()
+	s.Close()
 }
 
-// shut lets go of copy and disk. The lock is held.
-func (s *Spread) shut() {
+// Close ends this member's part, after Leave if it has a place: it lets go of copy and disk.
+func (s *Spread) Close() {
+	s.mu.Lock()
+	s.links = nil
 	if s.copy == nil {
+		s.mu.Unlock()
 		return
 	}
 	s.keep()
-	if err := s.disk.close(); err != nil {
+	d := s.disk
+	s.copy, s.disk = nil, nil
+	s.mu.Unlock() // the disk's loop may want it
+	if err := d.close(); err != nil {
 		s.o.Log.WithError(err).Warn("the group's words were not closed in order")
 	}
-	s.copy, s.disk = nil, nil
 }
 
-// Close ends this member's part, after Leave if it has a place.
-func (s *Spread) Close() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.shut()
-}
-
-// keep writes what the disk may not have; it is tried again with each round. The lock is held.
-func (s *Spread) keep() error {
+// keep has the disk write what it may not have; it is tried again with each round. The lock is held.
+func (s *Spread) keep() {
 	sum := s.copy.Seen().Sum()
 	if plant.On(plant.EarlyYes) && time.Since(s.began) < 8*time.Second {
-		return nil
+		return
 	}
-	if len(s.dirty) == 0 && sum == s.synced || s.disk == nil {
-		return s.unkept
+	if len(s.dirty) == 0 && sum == s.given && !s.refused || s.disk == nil {
+		return
 	}
-	err := s.disk.write(s.copy, s.dirty)
+	b, err := s.disk.put(s.copy, s.dirty)
 	if err != nil {
-		s.Counters.Unkept.Add(1)
-		if s.unkept == nil {
-			s.o.Log.WithError(err).Error("words are not kept on this member's disk; it is tried again")
+		s.fails(err)
+		return
+	}
+	s.dirty, s.given, s.refused, s.last = map[string]bool{}, sum, false, b
+}
+
+// wrote hears what became of a batch: what the disk did not take it is given again.
+func (s *Spread) wrote(d *disk, b *batch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.disk != d: // it is closed just now
+	case b.err == nil:
+		s.unkept = nil
+	default:
+		s.refused = true
+		for name := range b.entries {
+			s.dirty[name] = true
 		}
-	} else {
-		s.dirty, s.synced = map[string]bool{}, sum
+		s.fails(b.err)
+	}
+}
+
+// fails notes that words are not kept. The lock is held.
+func (s *Spread) fails(err error) {
+	s.Counters.Unkept.Add(1)
+	if s.unkept == nil {
+		s.o.Log.WithError(err).Error("words are not kept on this member's disk; it is tried again")
 	}
 	s.unkept = err
-	return err
 }
 
 // Say takes a word of staff that is in force here already, as the given word of this dispatcher's processes, and syncs it. The
 // note is for staff: what they should know beside that it was taken.
 func (s *Spread) Say(runner string, out bool, at int64) (note string, err error) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	if s.copy == nil {
+		s.mu.Unlock()
 		return "", nil // the process that has the copy hears it from this one's
 	}
-	return s.say(runner, out, at)
+	err = s.say(runner, out, at)
+	b, unkept := s.last, s.unkept
+	if s.disk == nil && unkept == nil {
+		unkept = errNoFolder
+	}
+	s.mu.Unlock()
+	if err != nil {
+		return "", err
+	}
+	if b != nil {
+		select {
+		case <-b.tried:
+			unkept = b.err
+		case <-time.After(syncWait):
+			unkept = errSlow
+		}
+	}
+	if unkept != nil {
+		note = fmt.Sprintf("this member does not keep it over a restart: %v", unkept)
+	}
+	return note, nil
 }
 
-func (s *Spread) say(runner string, out bool, at int64) (note string, err error) {
+// say takes a word and hands it to the disk. The lock is held.
+func (s *Spread) say(runner string, out bool, at int64) error {
 	s.known[runner] = at
 	delete(s.before, runner)
 	all := s.copy.Get(replica.Word, runner)
 	if replica.Out(all) != out || replica.Conflict(all) || out && len(all) == 0 {
 		if _, err := s.copy.Say(replica.Entry{Kind: replica.Word, Name: runner, Out: out, Member: s.o.Self, At: time.Now().Add(plant.Skew(s.o.Self)).UnixMilli()}); err != nil {
-			return "", fmt.Errorf("it binds here alone: %w", err)
+			return fmt.Errorf("it binds here alone: %w", err)
 		}
 		s.dirty[runner] = true
 	}
-	switch err := s.keep(); {
-	case err != nil:
-		note = fmt.Sprintf("this member does not keep it over a restart: %v", err)
-	case s.disk == nil:
-		note = fmt.Sprintf("this member does not keep it over a restart: %v", errNoFolder)
-	}
+	s.keep()
 	s.poke()
-	return note, nil
+	return nil
 }
 
 func (s *Spread) poke() {
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -161,16 +162,50 @@
 		return true
 	})
 	again.mu.Lock()
-	defer again.mu.Unlock()
-	seen := again.copy.Seen().Sum()
+	seen := again.copy.Seen()
+	again.mu.Unlock()
+	again.Close()
 	kept := replica.New("z")
-	again.disk.close()
-	if d, _, err := openDisk(folder, "g", kept); err != nil || kept.Seen().Sum() != seen {
-		t.Errorf("%v; its disk has seen %v, not %v", err, kept.Seen(), again.copy.Seen())
+	if d, _, err := openDisk(folder, "g", kept, nil); err != nil || kept.Seen().Sum() != seen.Sum() {
+		t.Errorf("%v; its disk has seen %v, not %v", err, kept.Seen(), seen)
 	} else {
 		d.close()
 	}
-	again.disk = nil
+}
+
+// A disk that stands still holds up nobody but who is told that a word is kept.
+func TestADiskThatStandsStill(t *testing.T) {
+	a, at := start(t, "a", t.TempDir())
+	b, _ := start(t, "b", "")
+	a.o.Peers, b.o.Peers = []string{"b"}, []string{"a"}
+	tx, err := a.disk.db.Begin(true) // no other write gets through
+	if err != nil {
+		t.Fatal(err)
+	}
+	part := join(t, a, b)
+	yes := make(chan string, 1)
+	go func() {
+		note, err := a.Say("r", true, 1)
+		yes <- fmt.Sprint(note, err)
+	}()
+	if _, err := b.Say("q", true, 1); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "what the other one was told binds here", func() bool { return at.is("q") })
+	a.Local(nil)
+	a.CaughtUp()
+	select {
+	case said := <-yes:
+		t.Errorf("yes before the word was synced: %s", said)
+	default:
+	}
+	if err := tx.Rollback(); err != nil {
+		t.Fatal(err)
+	}
+	if said := <-yes; said != "<nil>" {
+		t.Errorf("%s", said)
+	}
+	part()
 }
 
 // What one let go of may be replaced by what the asker has not seen: then it does not say so.
