Have members tell each other which workers drain, have gone or started anew, and leave these out

Need: a member whose discovery is silent, or that starts with an old list, sends to workers that the others know to leave.

Change: internal/roster. A fact is a worker's latest start and how far that has come; of two the further one holds, so facts become one in any order. A worker is left out while others know it to be further than our list, until our own watch has stood for 6 s since. No address is taken, nothing is made ready. The rig has workers that are listed as draining and go on serving (leaves), old lists over restarts, and logs of members (--logs).

--- a/cmd/birchfork/labgroup.go
+++ b/cmd/birchfork/labgroup.go
@@ -48,6 +48,7 @@
 	Lease    time.Duration `help:"The group's lease in place of the scenario's 1s." placeholder:"TIME"`
 	Diskless bool          `help:"Members keep nothing over a restart."`
 	Plant    string        `help:"Switch this fault on in every member, to see the judge catch it." placeholder:"FAULT"`
+	Logs     string        `help:"Keep what members log in this folder, a file each." placeholder:"DIR" type:"existingdir"`
 	JSON     string        `help:"Keep the results in this file, a line a run." placeholder:"FILE" name:"json"`
 	HTML     string        `help:"Draw the last run as a page in this file." placeholder:"FILE" name:"html"`
 }
@@ -100,7 +101,7 @@
 	if err != nil {
 		return fmt.Errorf("finding this program: %w", err)
 	}
-	o := groups.Options{Launch: func(fault, config, operator string) *exec.Cmd {
+	o := groups.Options{Logs: l.Logs, Launch: func(fault, config, operator string) *exec.Cmd {
 		if fault != "" {
 			return exec.Command(exe, "lab", "member", "--plant", fault, "--config", config, "--operator", operator)
 		}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -142,6 +142,9 @@
 	})
 }
 
+// Leave has a worker be listed as draining; it goes on serving whoever comes, until Down.
+func (f *Fleet) Leave(i int) { f.publish(i, StatusDraining, false, false) }
+
 // Down ends a worker's process, until Up.
 func (f *Fleet) Down(i int) {
 	f.Workers[i].Kill()
--- a/internal/lab/groups/groups.go
+++ b/internal/lab/groups/groups.go
@@ -28,6 +28,7 @@
 type Options struct {
 	Scenario
 	Seed   uint64
+	Logs   string                                         // a folder for all that members log; empty: none
 	Launch func(plant, config, operator string) *exec.Cmd // starts a member with a fault; empty: with none
 }
 
@@ -59,14 +60,15 @@
 	Spoilt = "spoilt" // all jobs of the member fail at the first worker, those of others do not
 	Errs   = "errs"   // all jobs of all members fail at the first worker
 	Down   = "down"   // the worker of that number, no member, is killed and starts again cold
+	Leaves = "leaves" // ... is listed as draining and goes on all the while, then starts anew
 	Hang   = "hang"   // jobs at the worker of that number do not end by themselves
 )
 
 // ofWorkers are the kinds whose number is a worker's.
-var ofWorkers = map[string]bool{Down: true, Hang: true}
+var ofWorkers = map[string]bool{Down: true, Leaves: true, Hang: true}
 
 // Kinds are all kinds of faults that a storm draws.
-var Kinds = []string{Cut, Deaf, Mute, Apart, Flap, Reset, Slow, Narrow, Torn, Stop, Kill, Crash, Wipe, Old, Put, Alien, Term, Renew, Halves, Thirds, Ring, Far, Unlist, Spoilt, Errs, Down, Hang}
+var Kinds = []string{Cut, Deaf, Mute, Apart, Flap, Reset, Slow, Narrow, Torn, Stop, Kill, Crash, Wipe, Old, Put, Alien, Term, Renew, Halves, Thirds, Ring, Far, Unlist, Spoilt, Errs, Down, Leaves, Hang}
 
 // Fault is one fault of the timetable.
 type Fault struct {
@@ -183,6 +185,7 @@
 		Scenario: g.day, Seed: o.Seed, Policy: lab.PolicyRules, Beside: g.play, Judge: g.judge, WorkerAt: g.by(Far), ListAt: g.by(Unlist),
 		UpWithin: o.For, // without a majority a member without its disk sends nothing, and so does not serve
 		Told:     g.terms,
+		OldLists: o.OldLists, Logs: o.Logs,
 		Launch: func(config string) *exec.Cmd {
 			name := strings.TrimSuffix(filepath.Base(config), ".json")
 			fault := o.Plant
@@ -752,14 +755,21 @@
 		g.stage.Terminate(ctx, f.Member)
 	case Renew:
 		g.stage.Upgrade(ctx, f.Member)
-	case Down:
+	case Down, Leaves:
 		l := g.stage.Ledger()
 		g.mu.Lock()
 		at := len(g.downs)
 		g.downs = append(g.downs, down{from: l.Now()})
 		g.mu.Unlock()
-		g.stage.Fleet().Down(f.Member)
-		sleep(ctx, f.For)
+		if f.Kind == Leaves {
+			g.stage.Fleet().Leave(f.Member)
+			sleep(ctx, f.For)
+			g.stage.Fleet().Down(f.Member)
+			sleep(ctx, restarts)
+		} else {
+			g.stage.Fleet().Down(f.Member)
+			sleep(ctx, f.For)
+		}
 		g.mu.Lock()
 		g.downs[at].until = l.Now()
 		g.mu.Unlock()
--- a/internal/lab/groups/judge.go
+++ b/internal/lab/groups/judge.go
@@ -19,11 +19,12 @@
 	OrderRule  = "order"   // all answers tell one history
 	GoesOnRule = "goes on" // the plan is through at the end of the day
 	WarnedRule = "warned"  // a worker that fails for all gets no job that may not be repeated, once two have failed there
+	ListRule   = "listed"  // a member whose discovery is silent sends nothing to a worker that others were told to leave
 	UseRule    = "use"     // a worker that fails for one member alone is in use at the others
 )
 
 // Rules are their names in their order.
-var Rules = []string{ClearRule, BudgetRule, OrderRule, GoesOnRule, WordsRule, WarnedRule, UseRule}
+var Rules = []string{ClearRule, BudgetRule, OrderRule, GoesOnRule, WordsRule, WarnedRule, ListRule, UseRule}
 
 // judge judges the group's rules by what workers and staff saw.
 func (g *rig) judge(s *lab.Stage) []judge.Breach {
@@ -34,6 +35,7 @@
 	out = append(out, orderBreaches(g.seen)...)
 	out = append(out, undoneBreaches(g.seen, g.works)...)
 	out = append(out, g.wordBreaches(s)...)
+	out = append(out, g.listBreaches(s)...)
 	if f := g.result.Faults; len(f) == 1 { // else something else may keep members away, or from hearing
 		from, to := g.result.Origin+f[0].At, g.result.Origin+f[0].At+f[0].For
 		switch f[0].Kind {
@@ -49,6 +51,29 @@
 	return out
 }
 
+// listBreaches are jobs at a worker that some other member was told to be draining so long ago that all could have heard.
+func (g *rig) listBreaches(s *lab.Stage) (out []judge.Breach) {
+	for _, t := range s.Ledger().Tellings() {
+		if t.State != judge.Draining || t.Written == 0 {
+			continue
+		}
+		heard := g.calm(t.Written) + spreadWithin
+		for _, a := range s.Ledger().Attempts() {
+			if a.Worker != t.Worker || a.Dispatcher == t.Dispatcher || a.First <= heard {
+				continue
+			}
+			own := slices.ContainsFunc(s.Ledger().Tellings(), func(o *judge.Telling) bool { // its own discovery has told it since
+				return o.Dispatcher == a.Dispatcher && o.Worker == t.Worker && (o.Life > t.Life || o.Life == t.Life && o.Has >= t.Has) && o.Written > 0 && o.Written <= a.First
+			})
+			if !own {
+				out = append(out, judge.Breach{Rule: ListRule, Kind: "sent", At: a.First, Who: a.Dispatcher, ID: a.ID, Lines: []string{
+					fmt.Sprintf("dispatcher %d was told at %.3fs that the worker drains", t.Dispatcher, t.Written.Seconds())}})
+			}
+		}
+	}
+	return out
+}
+
 // heardWithin is how long a warning may take to all members.
 const heardWithin = time.Second
 
--- a/internal/lab/groups/scenarios.go
+++ b/internal/lab/groups/scenarios.go
@@ -22,19 +22,20 @@
 	Out      int           `toml:"out"`      // machines away at a time
 	Work     time.Duration `toml:"work"`     // that staff have each machine
 	Lease    time.Duration `toml:"lease"`
-	Hosts    bool          `toml:"hosts"`    // machines are named by their host
-	Renamed  bool          `toml:"renamed"`  // while staff have a machine its runner starts there under another name
-	Diskless bool          `toml:"diskless"` // members keep nothing over a restart
-	Plans    int           `toml:"plans"`    // that the machines are parted between, one after the other; 0: one
-	ByHand   bool          `toml:"by_hand"`  // no plan: staff say words at each member, and wait for as long as an attempt may run
-	Retuned  bool          `toml:"retuned"`  // members begin with an eighth of the deadlines, and get the whole by SIGHUP while the plan runs
-	Older    int           `toml:"older"`    // the member that is of a build of before until it is restarted, before the plan begins; 0: none
-	Storm    int           `toml:"storm"`    // further faults, drawn from the seed
-	Say      int           `toml:"say"`      // further words of staff, drawn from the seed
-	Failing  int           `toml:"failing"`  // the member whose disk takes nothing any more after a while; 0: none
-	Stalling int           `toml:"stalling"` // the member whose disk takes seconds for each synced write after a while; 0: none
-	Plant    string        `toml:"plant"`    // a fault that is switched on in every member ...
-	Caught   string        `toml:"caught"`   // ... and the rule that has to break by it
+	Hosts    bool          `toml:"hosts"`     // machines are named by their host
+	Renamed  bool          `toml:"renamed"`   // while staff have a machine its runner starts there under another name
+	Diskless bool          `toml:"diskless"`  // members keep nothing over a restart
+	Plans    int           `toml:"plans"`     // that the machines are parted between, one after the other; 0: one
+	ByHand   bool          `toml:"by_hand"`   // no plan: staff say words at each member, and wait for as long as an attempt may run
+	Retuned  bool          `toml:"retuned"`   // members begin with an eighth of the deadlines, and get the whole by SIGHUP while the plan runs
+	Older    int           `toml:"older"`     // the member that is of a build of before until it is restarted, before the plan begins; 0: none
+	Storm    int           `toml:"storm"`     // further faults, drawn from the seed
+	Say      int           `toml:"say"`       // further words of staff, drawn from the seed
+	Failing  int           `toml:"failing"`   // the member whose disk takes nothing any more after a while; 0: none
+	OldLists bool          `toml:"old_lists"` // members begin with the list of the day's start after each restart
+	Stalling int           `toml:"stalling"`  // the member whose disk takes seconds for each synced write after a while; 0: none
+	Plant    string        `toml:"plant"`     // a fault that is switched on in every member ...
+	Caught   string        `toml:"caught"`    // ... and the rule that has to break by it
 	Faults   []Fault       `toml:"fault"`
 	Words    []Word        `toml:"word"` // of staff on runners
 }
--- a/internal/lab/groups/words.go
+++ b/internal/lab/groups/words.go
@@ -104,7 +104,7 @@
 		moved = false
 		for _, f := range g.had {
 			begin, end := f.At, f.At+f.For
-			if !slices.Contains([]string{Down, Hang, Far, Unlist, Spoilt, Errs}, f.Kind) && begin < from+spreadWithin && end > from {
+			if !slices.Contains([]string{Down, Leaves, Hang, Far, Unlist, Spoilt, Errs}, f.Kind) && begin < from+spreadWithin && end > from {
 				from, moved = end, true
 			}
 		}
--- a/internal/lab/judge/ledger.go
+++ b/internal/lab/judge/ledger.go
@@ -212,6 +212,13 @@
 	return l.attempts
 }
 
+// Tellings are all that discovery has told so far; call it when the run is over.
+func (l *Ledger) Tellings() []*Telling {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.tellings
+}
+
 // Falls are all falls so far.
 func (l *Ledger) Falls() []Fall {
 	l.mu.Lock()
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -61,6 +61,9 @@
 	// Told is what a dispatcher is told of the day's terms, in place of the day's own; nil: those.
 	Told func(dispatcher int, s *scenario.Scenario) *scenario.Scenario
 
+	Logs     string // a folder for all that dispatchers log, a file each; empty: none
+	OldLists bool   // configurations keep the list of the day's start over a restart, as those of a deployment do
+
 	// WorkerAt and ListAt are by which address a dispatcher reaches one of a worker or of discovery; nil: by itself.
 	WorkerAt, ListAt func(dispatcher int, address string) string
 
@@ -82,6 +85,8 @@
 	beside      func(context.Context, *Stage)
 	listAt      func(dispatcher int, address string) string
 	upWithin    time.Duration
+	oldLists    bool
+	logs        string
 	told        func(dispatcher int, s *scenario.Scenario) *scenario.Scenario
 }
 
@@ -90,7 +95,7 @@
 	r := &run{
 		day: o.Scenario.Draw(o.Seed, o.Storm), ledger: judge.NewLedger(), launch: o.Launch, spawner: newSpawner(),
 		lag: report.NewHistogram(), beats: report.NewHistogram(), beside: o.Beside,
-		listAt: o.ListAt, upWithin: o.UpWithin, told: o.Told,
+		listAt: o.ListAt, upWithin: o.UpWithin, told: o.Told, oldLists: o.OldLists, logs: o.Logs,
 	}
 	defer close(r.spawner.quit)
 	dir, err := os.MkdirTemp("", "birchfork-lab-")
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -73,6 +74,7 @@
 	listen string
 
 	mu     sync.Mutex
+	known  json.RawMessage // the list in its configuration
 	proc   *process
 	starts int
 	usage  usage
@@ -95,6 +97,8 @@
 
 // tail keeps the end of what a process wrote.
 type tail struct {
+	whole *os.File // nil: nobody wants it
+
 	mu  sync.Mutex
 	buf []byte
 }
@@ -104,6 +108,9 @@
 func (t *tail) Write(p []byte) (int, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.whole != nil {
+		t.whole.Write(p) // what cannot be written there is in the tail
+	}
 	t.buf = append(t.buf, p...)
 	if len(t.buf) > tailMost {
 		t.buf = append(t.buf[:0], t.buf[len(t.buf)-tailMost:]...)
@@ -139,7 +146,10 @@
 	if d.run.told != nil {
 		terms = d.run.told(d.index, terms)
 	}
-	raw, err := configuration(terms, d.index, seed, d.listen, list, agent.Known())
+	if d.known == nil || !d.run.oldLists {
+		d.known = agent.Known()
+	}
+	raw, err := configuration(terms, d.index, seed, d.listen, list, d.known)
 	if err != nil {
 		return fmt.Errorf("the configuration of dispatcher %d: %w", d.index, err)
 	}
@@ -170,6 +180,13 @@
 		return nil, err
 	}
 	p := &process{cmd: d.run.launch(d.path), done: make(chan struct{}), ended: judge.Crashed}
+	if d.run.logs != "" {
+		f, err := os.OpenFile(filepath.Join(d.run.logs, fmt.Sprintf("d%d.log", d.index)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+		if err != nil {
+			return nil, fmt.Errorf("the log of dispatcher %d: %w", d.index, err)
+		}
+		p.log.whole = f
+	}
 	p.cmd.Stdout, p.cmd.Stderr = &p.log, &p.log
 	d.run.ledger.Moment(judge.Moment{Dispatcher: d.index, At: d.run.ledger.Now(), What: judge.Started})
 	if err := d.run.spawner.start(p.cmd); err != nil {
@@ -210,6 +227,9 @@
 func (d *dispatcher) wait(p *process) {
 	err := p.cmd.Wait()
 	now := d.run.ledger.Now()
+	if p.log.whole != nil {
+		p.log.whole.Close()
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if s := p.cmd.ProcessState; s != nil {
--- a/internal/node/group.go
+++ b/internal/node/group.go
@@ -9,13 +9,17 @@
 	"path/filepath"
 	"runtime/debug"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"birchfork/internal/council"
+	"birchfork/internal/roster"
 	"birchfork/internal/spread"
+	"birchfork/internal/store"
 	"birchfork/internal/warning"
+	"birchfork/rules"
 )
 
 // groupsLinked says that this build has what groups need.
@@ -73,6 +77,26 @@
 	return council.Check(council.Options{Group: g, Self: c.Name, Log: log})
 }
 
+// lists are the store's list as roster wants it.
+type lists struct{ *store.Store }
+
+// goneTold is how long others are told that a worker has gone: one that was away for longer has a list by then.
+const goneTold = 15 * time.Minute
+
+// states are those of the list, in roster's order.
+var states = map[rules.State]roster.State{rules.Ready: roster.Up, rules.Draining: roster.Draining, rules.Gone: roster.Gone}
+
+func (l lists) Facts() (all []roster.Fact, fresh bool) {
+	known, fresh := l.Known(goneTold)
+	for _, k := range known {
+		all = append(all, roster.Fact{Name: k.Name, Start: k.Start, State: states[k.State]})
+	}
+	return all, fresh
+}
+
+func (l lists) Count() uint64        { return l.NewsCount() }
+func (l lists) Alive() time.Duration { return l.Watched() }
+
 // takePart takes part in the group, if there is one. Its address and folder have to be free, unless another process of this
 // dispatcher may have them.
 func (n *node) takePart() error {
@@ -108,8 +132,9 @@
 	}
 	w := warning.New(others, n.store.Warned)
 	n.store.OnWarn(w.Warn)
-	n.copies, o.Guests = s, []council.Guest{s, w}
-	n.counts = []func() map[string]int64{s.Fields, w.Fields}
+	list := roster.NewTeller(others, lists{n.store}, n.log.WithField("part", "group"))
+	n.copies, o.Guests = s, []council.Guest{s, w, list}
+	n.counts = []func() map[string]int64{s.Fields, w.Fields, list.Fields}
 	n.part = council.Start(o)
 	return nil
 }
--- a/internal/plant/lean.go
+++ b/internal/plant/lean.go
@@ -26,6 +26,7 @@
 	KeepsMum      = ""
 	Older         = ""
 	TrustsDisk    = ""
+	ListUntold    = ""
 	CountAgain    = ""
 	ClockWins     = ""
 	ClocksApart   = ""
--- a/internal/plant/plant.go
+++ b/internal/plant/plant.go
@@ -34,6 +34,7 @@
 	EarlyYes      = "early-yes"      // staff hear yes seconds before a word is synced
 	Overwrites    = "overwrites"     // what a member hears replaces what it has
 	ClocksApart   = "clocks-apart"   // no fault of ours: members' clocks are hours apart
+	ListUntold    = "list-untold"    // no member tells another what its discovery has told
 	TrustsDisk    = "trusts-disk"    // a member takes its disk for its last one, whatever it is
 	Older         = "older"          // no fault of ours: a build of before, which knows less of settled entries
 	DiskFails     = "disk-fails"     // no fault of ours: some seconds after its start the disk takes nothing any more
@@ -43,7 +44,7 @@
 // Names are all faults of ours.
 var Names = []string{
 	NoLease, LongLease, FewWords, NoBudget, DeadUncounted, OwnOrder, ActsTwice, ForgetsOut, SeesAnyway, NeverClear, SilentAnswer,
-	IgnoresBusy, WordsStay, InWins, Reappears, LeavesAlone, KeepsMum, CountAgain, ClockWins, EarlyYes, Overwrites, TrustsDisk,
+	IgnoresBusy, WordsStay, InWins, Reappears, LeavesAlone, KeepsMum, CountAgain, ClockWins, EarlyYes, Overwrites, TrustsDisk, ListUntold,
 }
 
 // Skew is how far a member's wall clock is off, where clocks are to be apart: by two hours for each count of its name's last digit.
--- a/internal/store/hand.go
+++ b/internal/store/hand.go
@@ -69,6 +69,9 @@
 	byHand  cause = 1 << iota // the operators left it out at this dispatcher
 	byPlan                    // the group has taken its machine out
 	noLease                   // we may not send there just now, and know nothing against the worker
+	byPeers                   // another member of the group knows that it has come further than our list has it
+
+	byWord = byHand | byPlan // said by staff or the group: one that is put back was started anew meanwhile
 )
 
 // leaveOut keeps everything away from a worker, for one more cause. The lock is held.
@@ -89,17 +92,17 @@
 func (s *Store) letIn(id rules.WorkerID, c cause, ago rules.Time) {
 	w, now := &s.workers[id], s.now()
 	was := w.out
-	if c != noLease {
+	if c&byWord != 0 {
 		w.back = max(w.back, now-ago)
 	}
 	if w.out &^= c; w.out != 0 {
 		return
 	}
-	if was != 0 && c != noLease {
+	if was != 0 && c&byWord != 0 {
 		s.onNews(WorkerNews{w.entry.Address})
 	}
 	since := w.back
-	if c == noLease {
+	if c&byWord == 0 {
 		since = max(since, w.started)
 	}
 	s.handle(now, &rules.Event{Kind: rules.PutBack, Worker: id, Elapsed: now - since})
--- a/internal/store/hand_test.go
+++ b/internal/store/hand_test.go
@@ -92,3 +92,30 @@
 		t.Fatal("not known")
 	}
 }
+
+// A worker that others know to have come further gets nothing until it is let in again, and is as warm then as the list has it. Its
+// latest start counts, also where the word that it leaves has none.
+func TestOthersKnowMoreOfAWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &script{on: sends}
+		s := newStore(t, m)
+		began := time.Now()
+		s.News(listOf(rules.Ready, "a:1", began.UnixMilli()))
+		a := (<-mustOpen(t, s, "a").Orders()).Attempt
+		s.Heed([]string{"w", "unknown"})
+		if some, _ := s.Ready(); some || a.Clear() || s.Knows("unknown") {
+			t.Fatal("it is in use still, or a name from another was taken for a worker's")
+		}
+		a.Ended(rules.NotSent, nil)
+		time.Sleep(time.Second)
+		s.Heed(nil)
+		s.Heed(nil)
+		if p := m.of(rules.PutBack); len(p) != 1 || p[0].Elapsed != rules.Second {
+			t.Fatalf("put back: %+v", p)
+		}
+		s.News(listOf(rules.Draining, "a:1", 0))
+		if all, fresh := s.Known(time.Hour); !fresh || len(all) != 1 || all[0] != (Known{"w", began.UnixMilli(), rules.Draining}) {
+			t.Fatalf("%+v", all)
+		}
+	})
+}
--- a/internal/store/list.go
+++ b/internal/store/list.go
@@ -35,6 +35,7 @@
 	back     rules.Time // when it was put back last, by hand or by the group
 	hand     int        // how often it was left out: what was ordered before does not go out after
 	leased   bool       // of a plan under way: sent to only under the group's lease
+	latest   int64      // start that the list has told of it, Unix time in milliseconds
 	flying   int        // attempts that have not ended
 	mayRun   time.Time  // until then one may run there that we know nothing of any more
 	failures int        // of jobs, in a row
@@ -165,6 +166,69 @@
 	return l, s.news
 }
 
+// Known is how far a worker has come, by our own list.
+type Known struct {
+	Name  string
+	Start int64 // the latest that was told, Unix time in milliseconds; 0: long ago
+	State rules.State
+}
+
+// Known are all workers of our list, those too that have left it for no longer than gone; fresh tells that discovery has told it
+// since our start.
+func (s *Store) Known(gone time.Duration) (all []Known, fresh bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.workers {
+		w := &s.workers[i]
+		if w.entry.Name != "" && (w.entry.State != rules.Gone || s.now()-w.left < rules.Time(gone.Microseconds())) {
+			all = append(all, Known{w.entry.Name, w.latest, w.entry.State})
+		}
+	}
+	return all, s.fresh
+}
+
+// Heed leaves out workers that other members of a group know to have come further than our list has them, in place of those before.
+func (s *Store) Heed(names []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := map[rules.WorkerID]bool{}
+	for _, name := range names {
+		if id, ok := s.names.FindWorker(name); ok {
+			held[id] = true
+		}
+	}
+	for i := range s.workers {
+		switch w, id := &s.workers[i], rules.WorkerID(i); {
+		case held[id] && w.out&byPeers == 0:
+			s.leaveOut(id, byPeers)
+		case !held[id] && w.out&byPeers != 0:
+			s.letIn(id, byPeers, 0)
+		}
+	}
+}
+
+// Watching says whether the watch on discovery has told its list and still stands.
+func (s *Store) Watching(stands bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case !stands:
+		s.watched = time.Time{}
+	case s.watched.IsZero():
+		s.watched = time.Now()
+	}
+}
+
+// Watched is for how long it has, without a break; below 0: it does not.
+func (s *Store) Watched() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.watched.IsZero() {
+		return -1
+	}
+	return time.Since(s.watched)
+}
+
 // NewsCount is how much news of the list there has been.
 func (s *Store) NewsCount() uint64 {
 	s.mu.Lock()
@@ -197,6 +261,7 @@
 			w.moved = nil
 		}
 	}
+	w.latest = max(w.latest, n.Since) // a word that it leaves need not have its start
 	w.entry = *n
 	return w.started
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -55,6 +55,7 @@
 	index    uint64     // the list's version, as discovery told it
 	news     uint64     // our own count of the list's news: what the module takes for its version
 	fresh    bool       // the list has been told since our start
+	watched  time.Time  // since when the watch on it stands; zero: it does not
 	origin   time.Time  // our start ...
 	epoch    rules.Time // ... and what the module's clock read then
 	timer    *time.Timer
--- a/internal/wire/discovery.go
+++ b/internal/wire/discovery.go
@@ -201,10 +201,20 @@
 	if w != d.now {
 		return errors.New("no list to take over with")
 	}
+	d.Store.Watching(true)
 	d.Store.News(l)
 	return nil
 }
 
+// broke hears that a watch does not stand any more.
+func (d *Discovery) broke(w *watch) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if w == d.now {
+		d.Store.Watching(false)
+	}
+}
+
 // watch follows the list at one address.
 type watch struct {
 	address string
@@ -281,6 +291,7 @@
 		}
 		var busy errBusy
 		w.resume = errors.As(err, &busy)
+		w.of.broke(w)
 		w.of.Store.Counters.WatchBroke.Add(1)
 		wait := w.spread.after(told, err)
 		w.of.Log.WithError(err).WithFields(logrus.Fields{"discovery": w.address, "again_in": wait}).
--- a/internal/wire/discovery_test.go
+++ b/internal/wire/discovery_test.go
@@ -404,3 +404,19 @@
 		})
 	}
 }
+
+// Whether our own watch stands is known: others' words on workers hold while it does not.
+func TestAWatchThatBreaksStandsNoMore(t *testing.T) {
+	s := newStore(t, 0)
+	w := &watch{}
+	d := &Discovery{Store: s, Log: quiet(), now: w}
+	before := s.Watched()
+	if err := d.take(w, store.List{Whole: true}); err != nil {
+		t.Fatal(err)
+	}
+	d.broke(&watch{})
+	stands := s.Watched()
+	if d.broke(w); before >= 0 || stands < 0 || s.Watched() >= 0 {
+		t.Fatalf("%v before, %v while it stands, %v after", before, stands, s.Watched())
+	}
+}
