Ask a silent agent again within 0.25 s, and read lists that stand on several lines

Cause: after 5 s of silence the watch was opened anew and its call waited 5 s more for the head of an answer, while the agent had spoken again 0.7 s before that was over; what an agent has counts as told from then on. 114 of 270 dispatchers then took an indented list for half a line (wire.watch.ask, readLine), up to three times.

Change: where lists are pushed the head of an answer is waited for 150 ms, the next call comes 0.1 s later at the most, and a watch may be silent for 3 s. Where they are asked for nothing changes. Lists are read value by value.

--- a/internal/lab/groups/groups.go
+++ b/internal/lab/groups/groups.go
@@ -247,22 +247,38 @@
 		return err
 	}
 	for from := range n {
-		var b strings.Builder
-		fmt.Fprintf(&b, "[group]\nname = \"lab\"\nplans = true\nlease = %q\n", g.o.Lease)
-		if !g.o.Diskless {
-			fmt.Fprintf(&b, "folder = %q\n", g.folder(from))
-		}
 		for to := range n {
-			at := g.real[to]
-			if to != from {
-				k, err := newLink(fleet.Loopback(), g.real[to])
-				if err != nil {
-					return err
+			if to == from {
+				continue
+			}
+			if g.links[[2]int{from, to}], err = newLink(fleet.Loopback(), g.real[to]); err != nil {
+				return err
+			}
+		}
+	}
+	return g.files(g.o.Joins)
+}
+
+// files writes the members' files, without one that is in none yet; 0: all are in.
+func (g *rig) files(without int) error {
+	n := g.o.Members
+	for from := range n {
+		var b strings.Builder
+		if from != without || without == 0 {
+			fmt.Fprintf(&b, "[group]\nname = \"lab\"\nplans = true\nlease = %q\n", g.o.Lease)
+			if !g.o.Diskless {
+				fmt.Fprintf(&b, "folder = %q\n", g.folder(from))
+			}
+			for to := range n {
+				if to == without && without > 0 {
+					continue
+				}
+				at := g.real[to]
+				if to != from {
+					at = g.links[[2]int{from, to}].address()
 				}
-				g.links[[2]int{from, to}] = k
-				at = k.address()
+				fmt.Fprintf(&b, "[[group.member]]\nname = \"d%d\"\nlink = %q\nvoter = %t\n", to, at, to < voters(n))
 			}
-			fmt.Fprintf(&b, "[[group.member]]\nname = \"d%d\"\nlink = %q\nvoter = %t\n", to, at, to < voters(n))
 		}
 		if err := os.WriteFile(g.operator(fmt.Sprintf("d%d", from)), []byte(b.String()), 0o600); err != nil {
 			return err
@@ -271,6 +287,21 @@
 	return nil
 }
 
+// join has a member that is down get its place in all files while the plan runs: the others are restarted one after the other, and
+// then it starts.
+func (g *rig) join(ctx context.Context) {
+	g.stage.Kill(ctx, g.o.Joins, joinsAfter, func() {
+		if err := g.files(0); err != nil {
+			g.note(err.Error())
+		}
+		for i := range g.real {
+			if i != g.o.Joins && ctx.Err() == nil {
+				g.stage.Terminate(ctx, i)
+			}
+		}
+	})
+}
+
 // by lays links to addresses outside of the group as they are met, for one kind of fault; nil where no such fault is played.
 func (g *rig) by(kind string) func(member int, address string) string {
 	if !slices.ContainsFunc(g.result.Faults, func(f Fault) bool { return f.Kind == kind }) {
@@ -401,6 +432,9 @@
 			g.stage.Terminate(ctx, g.o.Older)
 		})
 	}
+	if g.o.Joins > 0 {
+		all.Go(func() { g.join(ctx) })
+	}
 	planned := g.o.Machines > 0 && !g.o.ByHand
 	if planned && !g.begin(ctx) {
 		return
@@ -433,6 +467,7 @@
 // When what a scenario asks for happens.
 const (
 	olderFor   = 3 * time.Second
+	joinsAfter = 3 * time.Second // the plan runs by then
 	tunedAfter = 500 * time.Millisecond
 	tunedPart  = 8 // of the deadlines: then a lease and what attempts were waited for is less than one that runs to its deadline
 )
@@ -538,7 +573,8 @@
 				votes++
 			}
 		}
-		if last = fmt.Sprintf("%+v", r.Status.Members); len(r.Status.Members) == len(g.real) && votes == voters(len(g.real)) {
+		in := len(g.real) - min(g.o.Joins, 1)
+		if last = fmt.Sprintf("%+v", r.Status.Members); len(r.Status.Members) == in && votes == voters(len(g.real)) {
 			return nil
 		}
 	}
--- a/internal/lab/groups/judge.go
+++ b/internal/lab/groups/judge.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"birchfork/internal/council"
 	"birchfork/internal/lab"
 	"birchfork/internal/lab/judge"
 	"birchfork/internal/lab/scenario"
@@ -45,6 +46,13 @@
 			out = append(out, warnedBreaches(s, from, to)...)
 		}
 	}
+	joiner := fmt.Sprintf("d%d", g.o.Joins)
+	joined := func(s seen) bool {
+		return s.status.Settled && slices.ContainsFunc(s.status.Members, func(m council.MemberStatus) bool { return m.Name == joiner })
+	}
+	if g.o.Joins > 0 && !slices.ContainsFunc(g.seen, joined) {
+		out = append(out, judge.Breach{Rule: GoesOnRule, Kind: "not joined", At: s.Ledger().Now(), Who: g.o.Joins})
+	}
 	if g.o.Machines > 0 && g.result.Ended == 0 {
 		out = append(out, judge.Breach{Rule: GoesOnRule, Kind: "not through", At: s.Ledger().Now(), Who: -1, Lines: []string{g.result.Last}})
 	}
--- a/internal/lab/groups/scenarios.go
+++ b/internal/lab/groups/scenarios.go
@@ -29,6 +29,7 @@
 	ByHand   bool          `toml:"by_hand"`   // no plan: staff say words at each member, and wait for as long as an attempt may run
 	Retuned  bool          `toml:"retuned"`   // members begin with an eighth of the deadlines, and get the whole by SIGHUP while the plan runs
 	Older    int           `toml:"older"`     // the member that is of a build of before until it is restarted, before the plan begins; 0: none
+	Joins    int           `toml:"joins"`     // the member that is in no file, and down, until the plan has run for a while; 0: none
 	Storm    int           `toml:"storm"`     // further faults, drawn from the seed
 	Say      int           `toml:"say"`       // further words of staff, drawn from the seed
 	Failing  int           `toml:"failing"`   // the member whose disk takes nothing any more after a while; 0: none
@@ -88,6 +89,9 @@
 	if s.Older < 0 || s.Older >= max(s.Members, 1) {
 		fault("older", "there is no member %d", s.Older)
 	}
+	if s.Joins != 0 && (s.Joins < voters(s.Members) || s.Joins >= max(s.Members, 1)) {
+		fault("joins", "%d is no member that follows: the first %d vote", s.Joins, voters(s.Members))
+	}
 	if s.Failing < 0 || s.Failing >= max(s.Members, 1) {
 		fault("failing", "there is no member %d", s.Failing)
 	}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -42,6 +42,7 @@
 	Names                   *settings.Names
 	MostOpen                int
 	Operator                *config.Plan // nil: the operator wishes nothing
+	Pushed                  bool         // lists are sent to an agent on this machine, which answers at no cost
 	Unspoken                []string     // settings that sockets have no words for yet, a line each
 	platform                config.Platform
 	raw                     []byte // as it was read
@@ -264,6 +265,7 @@
 	// The protocol has no words yet for notes between dispatchers and for load reports, and the list comes by a watch
 	// that we hold ourselves. The module is told so, and asks for none of it.
 	c.Unspoken = unspoken(p)
+	c.Pushed = !s.ListOnRequest
 	s.CanTell, s.ListOnRequest = false, false
 	c.Settings = s
 	_, err = rules.New(s, 0)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -197,7 +197,7 @@
 		return nil, err
 	}
 	n.discovery = wire.NewDiscovery(ctx, n.store, log, wire.Source{
-		Address: c.Discovery, Fleet: c.Settings.GroupSize, Known: len(known.Entries) > 0, Index: known.Index, Seed: seed,
+		Address: c.Discovery, Pushed: c.Pushed, Fleet: c.Settings.GroupSize, Known: len(known.Entries) > 0, Index: known.Index, Seed: seed,
 	})
 	go n.tick(ctx)
 	if n.process.Number() != 0 {
--- a/internal/wire/discovery.go
+++ b/internal/wire/discovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -27,9 +28,16 @@
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 1 * time.Second // after a move the new list is due within 4 s
 
+	// Where lists are pushed, the other end is an agent on our own machine, which answers at once and at no cost. It is silent while
+	// discovery is down, and what it has counts as told from the moment of its return: sends to a runner that drains may go on for
+	// 0.5 s then, or what the settings say. Two calls in that time, at the least.
+	pushedHead  = 150 * time.Millisecond
+	pushedRetry = 100 * time.Millisecond
+	pushedQuiet = 3 * time.Second // one line may be late
+
 	callTime    = 200 * time.Millisecond // of discovery for one call, by which a fleet's calls are spread
 	busyDoubles = 2                      // times that the spread doubles at the most
-	newsMost    = 8 << 20                // bytes of one line
+	newsMost    = 8 << 20                // bytes of one list
 	sinceMost   = 1e14                   // milliseconds: no start is that late
 )
 
@@ -122,8 +130,9 @@
 	Store *store.Store
 	Log   logrus.FieldLogger
 
-	ctx   context.Context
-	fleet int
+	ctx    context.Context
+	fleet  int
+	pushed bool
 
 	mu   sync.Mutex
 	now  *watch // whose word counts
@@ -143,6 +152,7 @@
 // Source is where the list comes from.
 type Source struct {
 	Address string
+	Pushed  bool   // it is an agent of our own, which answers at no cost
 	Fleet   int    // dispatchers that ask there, about; all are to be carried when they ask together
 	Known   bool   // the store has a list of this source's, ...
 	Index   uint64 // ... of this version
@@ -151,7 +161,7 @@
 
 // NewDiscovery follows the list at a source until ctx ends.
 func NewDiscovery(ctx context.Context, s *store.Store, log logrus.FieldLogger, from Source) *Discovery {
-	d := &Discovery{Store: s, Log: log, ctx: ctx, fleet: max(from.Fleet, 1), source: rand.New(rand.NewPCG(from.Seed, 2))}
+	d := &Discovery{Store: s, Log: log, ctx: ctx, fleet: max(from.Fleet, 1), pushed: from.Pushed, source: rand.New(rand.NewPCG(from.Seed, 2))}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.now = d.watch(from.Address, from.Known, from.Index)
@@ -181,8 +191,11 @@
 
 func (d *Discovery) watch(address string, known bool, index uint64) *watch {
 	ctx, stop := context.WithCancel(d.ctx)
-	w := &watch{address: address, of: d, quiet: watchQuiet, stop: stop, resume: known, based: known, index: index,
-		spread: spread{span: time.Duration(d.fleet) * callTime, random: d.random}}
+	w := &watch{address: address, of: d, quiet: watchQuiet, head: watchQuiet, stop: stop, resume: known, based: known, index: index,
+		spread: spread{span: time.Duration(d.fleet) * callTime, most: retryMost, random: d.random}}
+	if d.pushed {
+		w.quiet, w.head, w.spread.most = pushedQuiet, pushedHead, pushedRetry
+	}
 	go w.run(ctx)
 	return w
 }
@@ -219,7 +232,8 @@
 type watch struct {
 	address string
 	of      *Discovery
-	quiet   time.Duration // silent for longer it is given up
+	quiet   time.Duration // silent for longer it is given up ...
+	head    time.Duration // ... and a call whose answer has not begun by then
 	stop    context.CancelFunc
 	spread  spread
 	resume  bool // the next call may go on from index
@@ -252,6 +266,7 @@
 // much at once stays too much, as calls that waited in vain cost discovery as much as others.
 type spread struct {
 	span   time.Duration // over which the calls of the whole fleet fit
+	most   time.Duration // between calls where nothing says that there are too many
 	random func() float64
 	broken int // failures in a row
 	busy   int // ... that said that there are too many calls
@@ -270,7 +285,7 @@
 		// What it asks for is the same for all: the spread comes on top. It may be absurd.
 		return min(busy.after, span<<busyDoubles) + time.Duration((0.25+0.75*s.random())*float64(most))
 	}
-	most := min(retryFirst<<min(s.broken, 10), retryMost)
+	most := min(retryFirst<<min(s.broken, 10), s.most)
 	s.broken++
 	return time.Duration((0.5 + 0.5*s.random()) * float64(most))
 }
@@ -324,7 +339,7 @@
 	target := "/discovery/hosts?follow=1&since=" + strconv.FormatUint(w.index, 10)
 	w.mu.Unlock()
 	first := true
-	err = w.ask(ctx, w.quiet, target, func(l store.List) error {
+	err = w.ask(ctx, target, func(l store.List) error {
 		if first && resumed && !l.Whole {
 			checks.Go(func() { w.check(ctx, stop) })
 		}
@@ -337,7 +352,7 @@
 
 // whole asks for the whole list; it tells whether one was taken. Where anew is set it counts whatever its version is.
 func (w *watch) whole(ctx context.Context, anew bool) (told bool, err error) {
-	err = w.ask(ctx, w.quiet, "/discovery/hosts", func(l store.List) error {
+	err = w.ask(ctx, "/discovery/hosts", func(l store.List) error {
 		l.Whole = true
 		if anew {
 			w.mu.Lock()
@@ -389,9 +404,9 @@
 	}
 }
 
-// ask sends one request and hands each line of the answer over, until one cannot be read or none has come for quiet. It
-// returns an error in any case: io.EOF where the answer ended in order.
-func (w *watch) ask(ctx context.Context, quiet time.Duration, target string, take func(store.List) error) error {
+// ask sends one request and hands each list of the answer over, until one cannot be read or none has come for as long as the watch
+// may be quiet. It returns an error in any case: io.EOF where the answer ended in order.
+func (w *watch) ask(ctx context.Context, target string, take func(store.List) error) error {
 	d := net.Dialer{Timeout: watchDial, KeepAlive: -1}
 	conn, err := d.DialContext(ctx, "tcp", w.address)
 	if err != nil {
@@ -399,8 +414,10 @@
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })()
-	alive := func() error { return errors.Join(conn.SetDeadline(time.Now().Add(quiet)), ctx.Err()) }
-	if err := alive(); err != nil {
+	alive := func(within time.Duration) error {
+		return errors.Join(conn.SetDeadline(time.Now().Add(within)), ctx.Err())
+	}
+	if err := alive(w.head); err != nil {
 		return err
 	}
 	req := "GET " + target + " HTTP/1.1\r\nHost: " + w.address + "\r\nAccept: application/json\r\n\r\n"
@@ -420,26 +437,50 @@
 	default:
 		return fmt.Errorf("status %d", res.StatusCode)
 	}
-	lines := bufio.NewReader(res.Body)
+	if err := alive(w.quiet); err != nil {
+		return err
+	}
+	body := &listReader{from: res.Body, line: func() error { return alive(w.quiet) }}
+	lists := json.NewDecoder(body) // a list may stand on several lines
 	for {
-		line, err := readLine(lines, newsMost)
-		if err != nil {
-			return fmt.Errorf("reading a line: %w", err)
-		}
-		if err := alive(); err != nil {
-			return err
-		}
-		if len(line) == 0 {
-			continue
+		body.left = newsMost
+		var raw json.RawMessage
+		if err := lists.Decode(&raw); err != nil {
+			var is *json.SyntaxError
+			if errors.As(err, &is) {
+				w.of.Store.Counters.BadNews.Add(1) // what it held is missed
+			}
+			return fmt.Errorf("reading a list: %w", err)
 		}
-		l, bad, err := DecodeList(line)
+		l, bad, err := DecodeList(raw)
 		w.of.Store.Counters.BadNews.Add(int64(bad))
 		if err != nil {
 			w.of.Store.Counters.BadNews.Add(1)
-			return err // what the line held is missed
+			return err
 		}
 		if err := take(l); err != nil {
 			return err
 		}
 	}
 }
+
+// listReader reads an answer of discovery. A line, which may be empty, shows that it lives; bytes that end none do not.
+type listReader struct {
+	from io.Reader
+	left int // bytes until a list is too long
+	line func() error
+}
+
+func (r *listReader) Read(p []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, errLong
+	}
+	n, err := r.from.Read(p[:min(len(p), r.left)])
+	r.left -= n
+	if bytes.IndexByte(p[:n], '\n') >= 0 {
+		if late := r.line(); late != nil {
+			return 0, late
+		}
+	}
+	return n, err
+}
--- a/internal/wire/discovery_test.go
+++ b/internal/wire/discovery_test.go
@@ -140,7 +140,9 @@
 		func(c net.Conn) { // a line that makes no sense: what it held is missed
 			io.WriteString(c, okHead+news(4, false)+chunk("{]\n")+news(9, false))
 		},
-		whole(8),
+		func(c net.Conn) { // a list may stand on several lines
+			io.WriteString(c, okHead+chunk("{\n  \"index\": 8,\n  \"snapshot\": true,\n  \"endpoints\": [\n"+entryUp+"\n]\n}\n")+"0\r\n\r\n")
+		},
 		func(c net.Conn) { io.WriteString(c, okHead+news(9, false, draining(entryUp))); <-stay },
 	)
 	follow(t, s, addr)
@@ -218,7 +220,7 @@
 	release := make(chan bool)
 	defer close(release)
 	addr, _ := agent(t, func(c net.Conn) { io.WriteString(c, okHead); <-release })
-	w := &watch{address: addr, spread: spread{random: rand.Float64}, of: &Discovery{Store: s, Log: quiet()}, quiet: 30 * time.Millisecond}
+	w := &watch{address: addr, spread: spread{random: rand.Float64}, of: &Discovery{Store: s, Log: quiet()}, quiet: 30 * time.Millisecond, head: time.Minute}
 	told, err := w.follow(context.Background())
 	if told || err == nil || !strings.Contains(err.Error(), "timeout") {
 		t.Fatalf("%v, %v", told, err)
@@ -255,7 +257,7 @@
 		}
 		callers := make([]caller, fleet)
 		for i := range callers {
-			callers[i].spread = spread{span: time.Duration(fleet) * callTime, random: r.Float64}
+			callers[i].spread = spread{span: time.Duration(fleet) * callTime, most: retryMost, random: r.Float64}
 			callers[i].at = callers[i].after(true, io.EOF)
 		}
 		told, calls, last := 0, 0, time.Duration(0)
@@ -283,8 +285,8 @@
 }
 
 func TestWaitsAreDrawnApart(t *testing.T) {
-	s := spread{span: 80 * callTime, random: func() float64 { return 0 }}
-	high := spread{span: 80 * callTime, random: func() float64 { return 1 }}
+	s := spread{span: 80 * callTime, most: retryMost, random: func() float64 { return 0 }}
+	high := spread{span: 80 * callTime, most: retryMost, random: func() float64 { return 1 }}
 	// At a carried call in 186 ms for 80, checks take discovery 15 of these seconds: it has room for others beside them.
 	if low, most := s.check(), high.check(); low != 32*time.Second || most != 64*time.Second {
 		t.Errorf("a check after %v to %v, want 32 s to 64 s", low, most)
@@ -420,3 +422,21 @@
 		t.Fatalf("%v before, %v while it stands, %v after", before, stands, s.Watched())
 	}
 }
+
+// An agent of our own that says nothing is asked again and again, as what it has counts as told as soon as it speaks.
+func TestASilentAgentIsAskedAgainSoon(t *testing.T) {
+	s := newStore(t, 0)
+	stay := make(chan bool)
+	defer close(stay)
+	silent := func(net.Conn) { <-stay }
+	addr, asked := agent(t, silent, silent, silent, silent, func(c net.Conn) { io.WriteString(c, okHead+news(1, true, entryUp)+"0\r\n\r\n") })
+	began := time.Now()
+	NewDiscovery(t.Context(), s, quiet(), Source{Address: addr, Pushed: true, Fleet: 300})
+	until(t, "its list is taken", func() bool { some, _ := s.Ready(); return some })
+	for range 4 {
+		<-asked
+	}
+	if took := time.Since(began); took > watchQuiet { // one call alone would have waited for so long
+		t.Errorf("it was asked five times in %v", took)
+	}
+}
