Keep and pass on kinds of words that a build does not know, and judge late words and lists rightly

A member refused a whole piece for one entry of a kind that its build does not know, and all words behind it: a fleet in two versions would not have become one.

A test waited for a disk by the wall clock.

--- a/cmd/birchfork/labgroup.go
+++ b/cmd/birchfork/labgroup.go
@@ -265,7 +265,7 @@
 
 // Run serves with the fault.
 func (l *labMember) Run(out output) error {
-	if !slices.Contains(append([]string{plant.DiskFails, plant.DiskStalls, plant.Older, plant.ClocksApart}, plant.Names...), l.Plant) {
+	if !slices.Contains(append([]string{plant.DiskFails, plant.DiskStalls, plant.NewerWords, plant.Older, plant.ClocksApart}, plant.Names...), l.Plant) {
 		return errors.New("--plant: there is no such fault")
 	}
 	plant.Set(l.Plant)
--- a/internal/lab/groups/words.go
+++ b/internal/lab/groups/words.go
@@ -167,7 +167,9 @@
 	for _, w := range g.spoken {
 		end = max(end, g.calm(w.came))
 	}
-	end += spreadWithin
+	if end += spreadWithin; end > s.Origin()+g.o.For {
+		return out // the last word or fault was too late for the day to show that all are one
+	}
 	losable := map[int]bool{} // workers one word on which may be lost
 	for i := range g.spoken {
 		losable[g.spoken[i].Worker] = losable[g.spoken[i].Worker] || g.losable(&g.spoken[i])
--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -320,6 +320,9 @@
 		if t.Written > 0 && t.Written < when {
 			when = t.Written
 		}
+		if t.State == Up { // from then on it may have been told: by its configuration, or before the write was noted here
+			when = t.Has
+		}
 		p := pair{t.Dispatcher, t.Worker}
 		news[p] = append(news[p], told{when, t.State, t.Life})
 	}
--- a/internal/plant/lean.go
+++ b/internal/plant/lean.go
@@ -32,6 +32,7 @@
 	ClocksApart   = ""
 	EarlyYes      = ""
 	Overwrites    = ""
+	NewerWords    = ""
 	DiskFails     = ""
 	DiskStalls    = ""
 )
--- a/internal/plant/plant.go
+++ b/internal/plant/plant.go
@@ -37,6 +37,7 @@
 	ListUntold    = "list-untold"    // no member tells another what its discovery has told
 	TrustsDisk    = "trusts-disk"    // a member takes its disk for its last one, whatever it is
 	Older         = "older"          // no fault of ours: a build of before, which knows less of settled entries
+	NewerWords    = "newer-words"    // no fault of ours: a build to come, which beside each word says an entry of a kind of its own
 	DiskFails     = "disk-fails"     // no fault of ours: some seconds after its start the disk takes nothing any more
 	DiskStalls    = "disk-stalls"    // no fault of ours: some seconds after its start each synced write takes seconds
 )
--- a/internal/replica/news.go
+++ b/internal/replica/news.go
@@ -10,10 +10,7 @@
 )
 
 // Mark is how far a reader has come with one writer's entries: they come in the order of kinds and names.
-type Mark struct {
-	Kind Kind   `json:"kind"`
-	Name string `json:"name"`
-}
+type Mark = Ref
 
 // Piece is a part of what a reader has not seen.
 type Piece struct {
@@ -33,7 +30,7 @@
 	for life, line := range c.byLife {
 		i, _ := slices.BinarySearchFunc(line, known[life]+1, byCount)
 		for _, e := range line[i:] {
-			if e.key().compare(key{from.Kind, from.Name}) > 0 {
+			if e.ref().compare(from) > 0 {
 				all = append(all, e)
 			}
 		}
@@ -44,14 +41,14 @@
 		}
 	}
 	slices.SortFunc(all, func(a, b *Entry) int {
-		return cmp.Or(a.key().compare(b.key()), cmp.Compare(a.Life, b.Life), cmp.Compare(a.Count, b.Count))
+		return cmp.Or(a.ref().compare(b.ref()), cmp.Compare(a.Life, b.Life), cmp.Compare(a.Count, b.Count))
 	})
 	for i, e := range all {
-		if len(p.Entries) >= max(most, 1) && e.key() != all[i-1].key() {
+		if len(p.Entries) >= max(most, 1) && e.ref() != all[i-1].ref() {
 			return p
 		}
 		p.Entries = append(p.Entries, *e)
-		p.Last = Mark{e.Kind, e.Name}
+		p.Last = e.ref()
 	}
 	p.Done = true
 	return p
@@ -64,10 +61,10 @@
 	Mark Mark
 }
 
-// Take takes a piece, and returns the names of words that may mean something else now. Entries alone count at once; what the
+// Take takes a piece, and returns what may mean something else now. Entries alone count at once; what the
 // other copy had seen counts with the last piece: until then what it replaced may not be here. An error says that nothing was
 // taken.
-func (c *Copy) Take(pull *Pull, p Piece) (changed []string, err error) {
+func (c *Copy) Take(pull *Pull, p Piece) (changed []Ref, err error) {
 	if len(p.Seen) > livesMost || p.Life == "" || len(p.Life) > lifeMost {
 		return nil, fmt.Errorf("a piece of nobody's, or with %d lives; %d at the most", len(p.Seen), livesMost)
 	}
@@ -86,7 +83,7 @@
 	for _, e := range p.Entries {
 		// What has been seen and is not here was replaced or forgotten.
 		if (!c.seen.Has(e.Dot) || plant.On(plant.Reappears)) && c.put(&e) {
-			changed = append(changed, e.Name)
+			changed = append(changed, e.ref())
 		}
 	}
 	if pull.Mark = p.Last; p.Done {
@@ -128,33 +125,33 @@
 	return gone
 }
 
-// Drop lets go of entries that another copy has seen go, and returns the names that may mean something else now. It is for
+// Drop lets go of entries that another copy has seen go, and returns what may mean something else now. It is for
 // entries that a copy got back from an old disk; they count as seen.
-func (c *Copy) Drop(gone []Dot) (changed []string) {
+func (c *Copy) Drop(gone []Dot) (changed []Ref) {
 	for _, d := range gone {
 		if e := c.find(d); e != nil {
 			c.remove(e)
-			changed = append(changed, e.Name)
+			changed = append(changed, e.ref())
 		}
 	}
 	return changed
 }
 
-// Forget lets go of words "back" that all members have, by what each has seen, and returns their names: nobody is left who could
+// Forget lets go of words "back" that all members have, by what each has seen, and returns which: nobody is left who could
 // bring back what they replaced without it being known as such. Where a member has seen what we have not it may have a word of
 // its own that did not see this one: then nothing goes.
-func (c *Copy) Forget(members []Seen) (changed []string) {
+func (c *Copy) Forget(members []Seen) (changed []Ref) {
 	if slices.ContainsFunc(members, func(s Seen) bool { return !c.seen.Covers(s) }) {
 		return nil
 	}
-	for _, k := range slices.SortedFunc(maps.Keys(c.held), key.compare) {
+	for _, k := range slices.SortedFunc(maps.Keys(c.held), Ref.compare) {
 		all := c.held[k]
-		if k.kind != Word || len(all) != 1 || all[0].Out {
+		if k.Kind != Word || len(all) != 1 || all[0].Out {
 			continue
 		}
 		if e := all[0]; !slices.ContainsFunc(members, func(s Seen) bool { return !s.Has(e.Dot) }) && c.seen.Has(e.Dot) {
 			c.remove(e)
-			changed = append(changed, k.name)
+			changed = append(changed, k)
 		}
 	}
 	return changed
--- a/internal/spread/disk.go
+++ b/internal/spread/disk.go
@@ -52,8 +52,8 @@
 // batch is what is written in one synced step.
 type batch struct {
 	seen    []byte
-	entries map[string][]byte // by name; nil: it has none any more
-	tried   chan struct{}     // closed once err is known
+	entries map[replica.Ref][]byte // nil: there is none any more
+	tried   chan struct{}          // closed once err is known
 	err     error
 }
 
@@ -131,17 +131,17 @@
 	return keep.Seal(raw), err
 }
 
-// put hands over what a copy has of some names, and what it has seen, behind what waits already.
-func (d *disk) put(c *replica.Copy, names map[string]bool) (*batch, error) {
+// put hands over some of what a copy has, and what it has seen, behind what waits already.
+func (d *disk) put(c *replica.Copy, some map[replica.Ref]bool) (*batch, error) {
 	seen, err := seal(c.Seen())
 	if err != nil {
 		return nil, err
 	}
-	entries := map[string][]byte{}
-	for name := range names {
-		entries[name] = nil
-		if all := c.Get(replica.Word, name); len(all) > 0 {
-			if entries[name], err = seal(all); err != nil {
+	entries := map[replica.Ref][]byte{}
+	for what := range some {
+		entries[what] = nil
+		if all := c.Get(what.Kind, what.Name); len(all) > 0 {
+			if entries[what], err = seal(all); err != nil {
 				return nil, err
 			}
 		}
@@ -149,7 +149,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.next == nil {
-		d.next = &batch{entries: map[string][]byte{}, tried: make(chan struct{})}
+		d.next = &batch{entries: map[replica.Ref][]byte{}, tried: make(chan struct{})}
 	}
 	d.next.seen = seen
 	maps.Copy(d.next.entries, entries)
@@ -196,12 +196,12 @@
 			return err
 		}
 		to := tx.Bucket(entryBucket)
-		for name, raw := range b.entries {
+		for what, raw := range b.entries {
 			if raw == nil {
-				if err := to.Delete([]byte(name)); err != nil {
+				if err := to.Delete(diskKey(what)); err != nil {
 					return err
 				}
-			} else if err := to.Put([]byte(name), raw); err != nil {
+			} else if err := to.Put(diskKey(what), raw); err != nil {
 				return err
 			}
 		}
@@ -209,6 +209,14 @@
 	})
 }
 
+// diskKey is where entries stand: words by their name, as in files of before there were other kinds.
+func diskKey(what replica.Ref) []byte {
+	if what.Kind == replica.Word {
+		return []byte(what.Name)
+	}
+	return []byte("\x00" + string(what.Kind) + "\x00" + what.Name)
+}
+
 // close writes what waits and gives the file back. Nothing may be put any more.
 func (d *disk) close() error {
 	if d == nil {
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -87,14 +87,16 @@
 	o     Options
 	began time.Time
 
+	patience time.Duration // syncWait, but in tests
+
 	mu      sync.Mutex
 	copy    *replica.Copy // nil: another process of this dispatcher has it
 	disk    *disk
-	dirty   map[string]bool // names that the disk was not given, or did not take
-	given   uint64          // what was seen, as the disk was given it
-	refused bool            // it did not take that
-	last    *batch          // that it was given
-	unkept  error           // why the disk may not have them
+	dirty   map[replica.Ref]bool // what the disk was not given, or did not take
+	given   uint64               // what was seen, as the disk was given it
+	refused bool                 // it did not take that
+	last    *batch               // that it was given
+	unkept  error                // why the disk may not have them
 	heard   map[string]replica.Seen
 	pulls   map[string]*replica.Pull
 	asking  map[string]bool
@@ -116,7 +118,7 @@
 // New reads the disk, so that what it has binds before anything is sent. Where another process of this dispatcher has it that one
 // is to tell, until it leaves.
 func New(o Options) (*Spread, error) {
-	s := &Spread{o: o, began: time.Now(), others: map[string]met{}, passed: map[string]passed{}, news: make(chan struct{}, 1), meet: make(chan string, 16)}
+	s := &Spread{o: o, began: time.Now(), patience: syncWait, others: map[string]met{}, passed: map[string]passed{}, news: make(chan struct{}, 1), meet: make(chan string, 16)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.open(); err != nil && !errors.Is(err, keep.ErrTaken) {
@@ -143,7 +145,7 @@
 		s.unkept = err
 		s.o.Log.WithError(err).Error("the group's folder cannot be used: words are not kept over a restart of this member")
 	}
-	s.copy, s.disk, s.dirty, s.given, s.refused = c, d, map[string]bool{}, c.Seen().Sum(), false
+	s.copy, s.disk, s.dirty, s.given, s.refused = c, d, map[replica.Ref]bool{}, c.Seen().Sum(), false
 	s.last = nil
 	s.heard, s.pulls, s.asking, s.caught = map[string]replica.Seen{}, map[string]*replica.Pull{}, map[string]bool{}, map[string]bool{}
 	s.first = time.Time{}
@@ -216,7 +218,7 @@
 		s.fails(err)
 		return
 	}
-	s.dirty, s.given, s.refused, s.last = map[string]bool{}, sum, false, b
+	s.dirty, s.given, s.refused, s.last = map[replica.Ref]bool{}, sum, false, b
 }
 
 // wrote hears what became of a batch: what the disk did not take it is given again.
@@ -229,8 +231,8 @@
 		s.unkept = nil
 	default:
 		s.refused = true
-		for name := range b.entries {
-			s.dirty[name] = true
+		for what := range b.entries {
+			s.dirty[what] = true
 		}
 		s.fails(b.err)
 	}
@@ -266,7 +268,7 @@
 		select {
 		case <-b.tried:
 			unkept = b.err
-		case <-time.After(syncWait):
+		case <-time.After(s.patience):
 			unkept = errSlow
 		}
 	}
@@ -285,7 +287,14 @@
 		if _, err := s.copy.Say(replica.Entry{Kind: replica.Word, Name: runner, Out: out, Member: s.o.Self, At: time.Now().Add(plant.Skew(s.o.Self)).UnixMilli()}); err != nil {
 			return fmt.Errorf("it binds here alone: %w", err)
 		}
-		s.dirty[runner] = true
+		s.dirty[replica.Ref{Kind: replica.Word, Name: runner}] = true
+		if plant.On(plant.NewerWords) {
+			e, err := s.copy.Say(replica.Entry{Kind: "later", Name: runner, Member: s.o.Self, Data: []byte(`{"of":"a newer build"}`)})
+			if err != nil {
+				return err
+			}
+			s.dirty[replica.Ref{Kind: e.Kind, Name: e.Name}] = true
+		}
 	}
 	s.keep()
 	s.poke()
@@ -348,16 +357,17 @@
 // caughtEnough tells whether enough others have told all they had. The lock is held.
 func (s *Spread) caughtEnough() bool { return len(s.caught) >= min(caughtFrom, len(s.o.Peers)) }
 
-// put has names that may mean something else now be in force and on disk. The lock is held.
-func (s *Spread) put(names []string) {
-	slices.Sort(names)
-	for _, name := range slices.Compact(names) {
-		s.dirty[name] = true
-		delete(s.before, name)
-		s.known[name] = s.o.Changed(name, s.out(name))
+// put has what may mean something else now be in force and on disk. The lock is held.
+func (s *Spread) put(changed []replica.Ref) {
+	for _, what := range changed {
+		if s.dirty[what] = true; what.Kind != replica.Word { // of a newer build: passed on alone
+			continue
+		}
+		delete(s.before, what.Name)
+		s.known[what.Name] = s.o.Changed(what.Name, s.out(what.Name))
 	}
 	s.keep()
-	if len(names) > 0 {
+	if len(changed) > 0 {
 		s.poke()
 	}
 }
@@ -435,8 +445,8 @@
 		}
 		members = append(members, seen)
 	}
-	for _, name := range s.copy.Forget(members) {
-		s.dirty[name] = true
+	for _, what := range s.copy.Forget(members) {
+		s.dirty[what] = true
 	}
 	s.keep()
 }
