--- a/internal/lab/groups/groups.go
+++ b/internal/lab/groups/groups.go
@@ -768,7 +768,12 @@
 	}
 	switch f.Kind {
 	case Crash:
+		up, back := context.WithCancel(ctx)
+		var staff sync.WaitGroup
+		staff.Go(func() { g.vouch(up, f) })
 		g.stage.Kill(ctx, f.Member, f.For, func() { os.RemoveAll(g.temporary(f.Member)) })
+		back()
+		staff.Wait()
 	case Stop:
 		g.stage.Stop(ctx, f.Member, f.For)
 	case Kill:
@@ -837,6 +842,17 @@
 	}
 }
 
+// vouchAfter is how long staff wait for a member that nothing tells whether its disk is the last one. With another disk lost too few
+// of three voters are left to tell.
+const vouchAfter = 8 * time.Second
+
+// vouch has staff say that the disk of a member that came down with its machine is its last one, once it has waited for long.
+func (g *rig) vouch(ctx context.Context, f Fault) {
+	for sleep(ctx, f.For+vouchAfter); ctx.Err() == nil; sleep(ctx, time.Second) {
+		(&council.Client{At: g.real[f.Member : f.Member+1]}).Ask(ctx, council.Call{Vouch: true})
+	}
+}
+
 // never is longer than any day.
 const never = 24 * time.Hour
 
