--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -351,6 +351,11 @@
 	if note, err := s.Say("r", true, 1); err != nil || !strings.Contains(note, "does not keep it over a restart: the group's disk") || s.Counters.Unkept.Load() != 1 {
 		t.Errorf("a disk that fails: %q, %v", note, err)
 	}
+	s.mu.Lock()
+	if !s.refused || !s.dirty[replica.Ref{Kind: replica.Word, Name: "r"}] {
+		t.Error("what the disk did not take is not given to it again")
+	}
+	s.mu.Unlock()
 	s, _ = start(t, "a", bad)
 	if note, err := s.Say("r", true, 1); err != nil || !strings.Contains(note, "does not keep it over a restart") {
 		t.Errorf("a folder that is a file: %q, %v", note, err)
--- a/internal/wire/discovery_test.go
+++ b/internal/wire/discovery_test.go
@@ -440,3 +440,11 @@
 		t.Errorf("it was asked five times in %v", took)
 	}
 }
+
+// A list without end takes no memory without end.
+func TestAListIsOnlySoLong(t *testing.T) {
+	r := &listReader{from: strings.NewReader("[1,2,3,4]"), left: 4, line: func() error { return nil }}
+	if got, err := io.ReadAll(r); err != errLong || len(got) != 4 {
+		t.Errorf("%q, %v", got, err)
+	}
+}
