Take a cold worker whose size nobody tells for half the mean

Cause: coldBears assumes that a cold worker can do the mean.

Ruled out: repeats (marked ones draw no cold workers); second copies (not allowed there).

The new row of TestColdWorkersGetNoMoreThanTheyBear fails with coldBlind at 1 (16 jobs in a window that bears 14.9).

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -170,6 +170,7 @@
 		MaxRetryAfter:  p.time("policy_limits.max_retry_after", 0),
 		ConnectTimeout: p.time("policy_limits.connect_timeout", 0),
 		ListOnRequest:  p.choice("registry_mode", "automatic", "automatic", "subscribe") == 1,
+		Sized:          p.Text("weight_kind", "off") == "nominal" || p.Text("weight_kind", "off") == "rough",
 		WeightsMove:    p.Text("weight_kind", "off") == "live",
 		TellsStart:     p.Flag("extra.tells_start", false),
 		Progress:       p.time("extra.progress", 0),
--- a/rules/interface.go
+++ b/rules/interface.go
@@ -79,6 +79,7 @@
 	MaxRetryAfter  Time
 	ConnectTimeout Time
 	ListOnRequest  bool // the worker list comes only to those that watch or fetch it
+	Sized          bool // a worker's listed weight tells its size
 	WeightsMove    bool // a worker's listed weight falls with its load, so that it is no size
 	TellsStart     bool // workers report when a job starts
 	Progress       Time // time between progress reports of a running job, 0 for none
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -43,6 +43,7 @@
 	owedWithin = 3 * Second        // ... and at most: from then on it is owed a job
 	trialMost  = 4 * Second        // between its trials at the most: they double
 	paceMost   = 20.0              // times the mean pace that one run counts for at most
+	coldBlind  = 0.5               // part of the mean size that a cold worker may have where none is told
 	coldPicks  = 1.5               // picks of a cold worker for each job that it gets: others take the rest
 	extraShare = 0.15              // further attempts for each landing: bounds retry storms
 	extraMost  = 10.0              // further attempts saved up at most
@@ -139,7 +140,7 @@
 func (d *Dispatcher) coldBears(w *worker) float64 {
 	full := w.kind.size * float64(d.s.FallWindow) / (d.meanWork * d.paceOf(w))
 	root := max(0, math.Sqrt(d.s.FallMultiple*d.warmth(w)*full+1)-1)
-	return min(1, coldPicks*d.part(w)*d.all.pace/d.paceOf(w)*root*root/full)
+	return min(1, coldPicks*d.leastPart(w)*d.all.pace/d.paceOf(w)*root*root/full)
 }
 
 // believe shrinks a hint towards the mean as far as hints told little of run times (a regression of logs).
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -433,14 +433,16 @@
 	for _, c := range []struct {
 		dispatchers int
 		load        float64   // of what the fleet can do when warm
-		sizes       []float64 // slots of the workers, as the list tells them
+		sizes       []float64 // slots of the workers
+		told        bool      // by the list, and known of each kind; else a dispatcher knows neither
 		cold, least []int     // which are cold, and the jobs that each gets at least in ten seconds
 	}{
-		{20, 1, []float64{1, 1, 1, 1, 1, 1, 1, 1, 1, 1}, []int{0}, []int{10}},
-		{80, 0.8, []float64{1, 1, 1, 1, 1, 5, 5, 5, 5, 5}, []int{0, 9}, []int{3, 150}},
-		{80, 0.7, []float64{1, 1, 2, 2, 3, 3, 4, 4, 5, 5}, []int{0, 1, 2, 6, 8, 9}, []int{3, 3, 15, 50, 100, 100}},
+		{20, 1, []float64{1, 1, 1, 1, 1, 1, 1, 1, 1, 1}, true, []int{0}, []int{10}},
+		{80, 0.8, []float64{1, 1, 1, 1, 1, 5, 5, 5, 5, 5}, true, []int{0, 9}, []int{3, 150}},
+		{80, 0.7, []float64{1, 1, 2, 2, 3, 3, 4, 4, 5, 5}, true, []int{0, 1, 2, 6, 8, 9}, []int{3, 3, 15, 50, 100, 100}},
+		{80, 1, []float64{2, 2, 2, 2, 4, 4, 4, 4, 4, 4}, false, []int{0, 9}, []int{20, 20}},
 	} {
-		sent := coldDay(t, c.dispatchers, c.load, c.sizes, c.cold)
+		sent := coldDay(t, c.dispatchers, c.load, c.sizes, c.told, c.cold)
 		for i, w := range c.cold {
 			if len(sent[w]) < c.least[i] {
 				t.Errorf("%d dispatchers, sizes %v: worker %d got %d jobs in ten seconds, want %d", c.dispatchers, c.sizes, w, len(sent[w]), c.least[i])
@@ -450,10 +452,10 @@
 }
 
 // coldDay returns the times of all sends to cold workers, and fails where a window holds more than one of them bears.
-func coldDay(t *testing.T, dispatchers int, load float64, sizes []float64, cold []int) map[int][]Time {
+func coldDay(t *testing.T, dispatchers int, load float64, sizes []float64, told bool, cold []int) map[int][]Time {
 	t.Helper()
 	s := settings()
-	s.GroupSize, s.PriceCross, s.Kinds = dispatchers, 0, 6
+	s.GroupSize, s.PriceCross, s.Kinds, s.Sized = dispatchers, 0, 6, told
 	s.Classes[safe].Stretch, s.Classes[safe].Kind = 50, -1 // nothing is refused
 	capacity := 0.0                                        // jobs landed in 100 ms
 	for _, n := range sizes {
@@ -465,14 +467,19 @@
 		k.d.rng = rand.New(rand.NewPCG(uint64(i), 5))
 		list := fleet(len(sizes))
 		for w := range list {
-			list[w].Weight, list[w].Kind = sizes[w], int(sizes[w])
+			list[w].Weight, list[w].Kind = 1, int(sizes[w])
+			if told {
+				list[w].Weight = sizes[w]
+			}
 			if slices.Contains(cold, w) {
 				list[w].StartedAt = k.now
 			}
 		}
 		k.do(Event{Kind: ListSnapshot, Workers: list, Version: 1})
 		for n := range k.d.kinds {
-			k.d.kinds[n].size = float64(n)
+			if told {
+				k.d.kinds[n].size = float64(n)
+			}
 		}
 		desks = append(desks, k)
 	}
--- a/rules/state.go
+++ b/rules/state.go
@@ -311,6 +311,15 @@
 	k.runs++
 	k.pace += (pace - k.pace) * max(meanWeight, 1/(k.runs+firstRuns))
 }
+// leastPart is the least that a worker's size may be against the mean. Guards against small ones of a fleet whose list tells no sizes:
+// draws come to all alike, and a dispatcher of many sees too little of a worker to learn what it can do.
+func (d *Dispatcher) leastPart(w *worker) float64 {
+	if !d.s.Sized && !d.s.CanTell && d.s.Kinds > 1 && !w.kind.told {
+		return coldBlind
+	}
+	return d.part(w)
+}
+
 
 type tenantState struct {
 	Tenant
