Send no repeat after its window, though its connection came up late

Cause: the module asks at its order whether the window is over in which repeats are dropped; the mechanics then dial for up to the connect time, and longer over a slow link, and wrote whatever the clock read. With windows shorter than deadlines that is a second effect.

Change: an order tells when the attempt's first byte has to be out (Action.By, from repeatBy), and Attempt.Clear, which is asked right before that byte, keeps it. The window still begins with our order of the first attempt that may have run, which is no later than its first byte.

--- a/internal/store/request.go
+++ b/internal/store/request.go
@@ -212,6 +212,7 @@
 	cancel context.CancelCauseFunc
 	stop   context.CancelFunc
 	done   bool
+	by     rules.Time // its first byte goes out before, or it does not go out; 0: no bound
 }
 
 func (r *Request) send(now rules.Time, a *rules.Action) {
@@ -228,7 +229,7 @@
 	}
 	r.s.names.NoteSend(r.id)
 	r.hold.sent()
-	t := &Attempt{r: r, number: len(r.attempts), worker: a.Worker, sentAt: now}
+	t := &Attempt{r: r, number: len(r.attempts), worker: a.Worker, sentAt: now, by: a.By}
 	if int(a.Worker) < len(r.s.workers) {
 		w := &r.s.workers[a.Worker]
 		t.addr, t.since, t.hand = w.entry.Address, w.entry.Since, w.hand
@@ -251,8 +252,8 @@
 // Address is where the worker listens.
 func (a *Attempt) Address() string { return a.addr }
 
-// Clear tells whether the attempt may still go out: to be asked right before its first byte. Guards against a drain or
-// a deadline that came while the connection was set up.
+// Clear tells whether the attempt may still go out: to be asked right before its first byte. Guards against a drain, a
+// deadline, or the end of the time in which repeats are dropped, that came while the connection was set up.
 func (a *Attempt) Clear() bool {
 	s := a.r.s
 	s.catchUp(a.ctx)
@@ -261,7 +262,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if int(a.worker) >= len(s.workers) || a.r.final {
+	if int(a.worker) >= len(s.workers) || a.r.final || a.by > 0 && s.now() >= a.by {
 		return false
 	}
 	w := &s.workers[a.worker]
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -312,10 +312,19 @@
 func TestAfterAStallNewsIsReadBeforeAnythingIsSent(t *testing.T) {
 	for _, beaten := range []bool{false, true} { // whether the beat or the attempt is the first to run again
 		synctest.Test(t, func(t *testing.T) {
-			s := newStore(t, &script{on: sends})
+			var s *Store
+			s = newStore(t, &script{on: func(e *rules.Event) []rules.Action {
+				acts := sends(e)
+				for i := range acts {
+					acts[i].By = s.now() + rules.Second
+				}
+				return acts
+			}})
 			s.News(listOf(rules.Ready, "127.0.0.1:1", 7))
 			s.Beat()
 			mustOpen(t, s, "quick").Leave()
+		{"before the time in which it is dropped is over", func(*Store, *Request) { time.Sleep(999 * time.Millisecond) }, true},
+		{"after it", func(*Store, *Request) { time.Sleep(1001 * time.Millisecond) }, false},
 			r := mustOpen(t, s, "a")
 			a := (<-r.Orders()).Attempt
 			began := time.Now()
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -32,9 +32,14 @@
 }
 
 func newStore(t testing.TB, mostOpen int) *store.Store {
+	t.Helper()
+	return newStoreOf(t, mostOpen, basic)
+}
+
+func newStoreOf(t testing.TB, mostOpen int, text string) *store.Store {
 	t.Helper()
 	names := settings.NewNames()
-	set, _, err := settings.DecodeJSON([]byte(basic), names)
+	set, _, err := settings.DecodeJSON([]byte(text), names)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/rules/interface.go
+++ b/rules/interface.go
@@ -236,7 +236,7 @@
 
 // The actions and the fields that each uses.
 const (
-	Send      ActionKind = iota // Request, Worker, Wait: the time-out, 0 for the client's own
+	Send      ActionKind = iota // Request, Worker, Wait: the time-out, 0 for the client's own; By
 	Cancel                      // Request, Attempt
 	Refuse                      // Request, Wait: when to come back, 0 for no advice
 	GiveUp                      // Request
@@ -253,6 +253,7 @@
 	Attempt int
 	Worker  WorkerID
 	Wait    Time
+	By      Time // the attempt's first byte has to be out before, else it is not to go out at all; 0: no bound
 	Peer    int
 	Note    Note
 }
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -112,19 +112,19 @@
 func (d *Dispatcher) mayRepeat(j *job, w *worker) bool {
 	for i := range j.attempts {
 		a := &j.attempts[i]
-		window := j.class.Window
-		if j.narrow.Window > 0 {
-			window = min(window, j.narrow.Window)
-		}
 		harmless := !j.narrow.Strict && (j.class.Effect == Safe || j.class.Effect == Keyed &&
-			sameGroup(j.class.Group, a.w, w) && d.now+d.s.Tick < a.sentAt+window)
+			sameGroup(j.class.Group, a.w, w))
 		if !a.neverRan && (!harmless || a.out && (!d.s.SecondCopies || j.narrow.Single || a.w == w)) {
 			return false
 		}
 	}
-	return true
+	return d.now < d.repeatBy(j)
 }
 
+// repeatBy is when a further attempt has to be out by its first byte: repeats are dropped for so long only,
+// from our order of the first that may have run, as that one went out no sooner.
+func (d *Dispatcher) repeatBy(j *job) Time { return j.ranSince() + j.window - d.s.Tick }
+
 // warmth is the share of its capacity that a worker has at the least.
 func (d *Dispatcher) warmth(w *worker) float64 {
 	age := max(0, d.now-w.start())
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -361,6 +361,38 @@
 	}
 }
 
+// A further attempt has to be out before the window is over that began with the order of the first that may have run: its connection
+// takes time to come up.
+func TestFurtherAttemptsTellWhenTheyHaveToBeOut(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		class int
+		first Result
+		bound bool
+	}{
+		{"keyed, after one that may have run", keyedAll, Failed, true},
+		{"keyed, after one that never ran", keyedAll, Full, false},
+		{"safe", safe, Failed, false},
+	} {
+		s := settings()
+		s.Classes[keyedAll].Window = 500 * ms
+		k := newDesk(t, s, fleet(3)...)
+		landed := k.now
+		id, first := k.land(c.class, 100*ms)
+		if count(first, Send) != 1 || first[0].By < never {
+			t.Fatalf("%s: the first attempt is bound: %+v", c.name, first)
+		}
+		k.wait(50 * ms)
+		acts := append(k.end(id, 0, c.first), k.wait(100*ms)...)
+		if count(acts, Send) != 1 || acts[0].Kind != Send {
+			t.Fatalf("%s: got %v, want a further attempt", c.name, acts)
+		}
+		if by := acts[0].By; c.bound && by != landed+500*ms-s.Tick || !c.bound && by < never {
+			t.Errorf("%s: out by %v after the first, want 499 ms: %v", c.name, by-landed, c.bound)
+		}
+	}
+}
+
 func TestNoSecondCopyWhereNotAllowed(t *testing.T) {
 	s := settings()
 	s.SecondCopies = false
--- a/rules/state.go
+++ b/rules/state.go
@@ -62,6 +62,7 @@
 	key      uint64    // 0: none
 	draws    uint64    // by the key, since it was held
 	narrow   Narrow    // what the operator allows
+	window   Time      // how long repeats are dropped; never: time does not matter
 	most     int       // attempts, by the settings that it landed under
 	pausedTo Time      // no further attempt before
 }
@@ -110,13 +111,16 @@
 	return false
 }
 
-func (j *job) mayHaveRun() bool {
+func (j *job) mayHaveRun() bool { return j.ranSince() != never }
+
+// ranSince is when the first attempt that may have run was ordered; never: none may have.
+func (j *job) ranSince() Time {
 	for i := range j.attempts {
 		if !j.attempts[i].neverRan {
-			return true
+			return j.attempts[i].sentAt
 		}
 	}
-	return false
+	return never
 }
 
 type classState struct {
@@ -162,13 +166,14 @@
 
 // sent and freed keep the slots in use and tell the worker's home of them.
 func (d *Dispatcher) sent(j *job, a attempt) {
+	by := d.repeatBy(j) // by the attempts before this one
 	j.attempts = append(j.attempts, a)
 	if len(d.owing) > 0 {
 		d.paid(a.w)
 	}
 	a.w.use += j.need
 	d.inUse += j.need
-	d.emit(Action{Kind: Send, Request: j.id, Worker: a.w.ID, Wait: j.narrow.Wait})
+	d.emit(Action{Kind: Send, Request: j.id, Worker: a.w.ID, Wait: j.narrow.Wait, By: by})
 	d.tellHome(a.w, Use)
 }
 
@@ -306,11 +311,6 @@
 	return 1
 }
 
-// learnPace takes a run into a pace. Where many share the work each sees few runs: the first count for more.
-func (k *kindState) learnPace(pace float64) {
-	k.runs++
-	k.pace += (pace - k.pace) * max(meanWeight, 1/(k.runs+firstRuns))
-}
 // leastPart is the least that a worker's size may be against the mean. Guards against small ones of a fleet whose list tells no sizes:
 // draws come to all alike, and a dispatcher of many sees too little of a worker to learn what it can do.
 func (d *Dispatcher) leastPart(w *worker) float64 {
@@ -320,6 +320,11 @@
 	return d.part(w)
 }
 
+// learnPace takes a run into a pace. Where many share the work each sees few runs: the first count for more.
+func (k *kindState) learnPace(pace float64) {
+	k.runs++
+	k.pace += (pace - k.pace) * max(meanWeight, 1/(k.runs+firstRuns))
+}
 
 type tenantState struct {
 	Tenant
@@ -658,6 +663,12 @@
 	if e.Narrow.Within > 0 {
 		j.end = min(j.end, d.now+e.Narrow.Within)
 	}
+	if j.window = never; j.class.Effect == Keyed {
+		j.window = j.class.Window
+		if e.Narrow.Window > 0 {
+			j.window = min(j.window, e.Narrow.Window)
+		}
+	}
 	if d.s.PriceFetch <= 0 {
 		j.key = 0
 	}
