Send nothing on after the end, and refuse there what cannot have run

Cause: at the end of all that is open a request's function found both an order to send and the end ready, and a select takes any of several ready cases: a request read after the shutdown was opened and, in half of the cases, sent on, with nobody left to answer it. And what ended there with nothing run was answered as failed, after which a client of a class that may never run twice may not come again.

Change: what ends a request (its client has gone, the end) is looked at first. Request.Fail answers with a refusal where no attempt is out and none may have run.

--- a/internal/store/request.go
+++ b/internal/store/request.go
@@ -126,8 +126,8 @@
 	r.clear()
 }
 
-// Fail ends the request, as its time is up. It returns the order that answers it: the module's, where that has come
-// meanwhile, else a failure.
+// Fail ends the request, as its time is up or this process ends. It returns the order that answers it: the module's, where that has
+// come meanwhile, else a failure, or a refusal where nothing of it can have run.
 func (r *Request) Fail() Order {
 	r.s.mu.Lock()
 	defer r.s.mu.Unlock()
@@ -136,8 +136,13 @@
 	}
 	r.s.Counters.Overdue.Add(1)
 	r.abandon()
-	r.clear()
-	return Order{Kind: GivenUp}
+	r.clear() // what nobody has begun with never ran
+	for _, a := range r.attempts {
+		if !a.neverRan {
+			return Order{Kind: GivenUp}
+		}
+	}
+	return Order{Kind: Refused}
 }
 
 // abandon ends a request that the module has not answered: to the module its client has gone. The lock is held.
@@ -207,12 +212,14 @@
 	since  int64 // the worker's start, as the list told it
 	hand   int   // see workerView
 	sentAt rules.Time
+	by     rules.Time // its first byte goes out before, or it does not go out; 0: no bound
 	began  rules.Time // when the job's start was told; 0: it was not
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	stop   context.CancelFunc
 	done   bool
-	by     rules.Time // its first byte goes out before, or it does not go out; 0: no bound
+
+	neverRan bool // by its outcome
 }
 
 func (r *Request) send(now rules.Time, a *rules.Action) {
@@ -327,6 +334,7 @@
 		return
 	}
 	a.done = true
+	a.neverRan = result == rules.Full || result == rules.NotSent || result == rules.Unreachable
 	a.stop()
 	a.cancel(errEnded)
 	r, s := a.r, a.r.s
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -145,14 +145,22 @@
 	defer overdue.Stop()
 	for {
 		var o store.Order
+		// First what ends the request: of several that are ready the next select takes any, and nothing is sent on past its end.
 		select {
-		case o = <-req.Orders():
 		case <-r.Context().Done():
 			return
 		case <-f.hurry:
 			o = req.Fail()
-		case <-overdue.C:
-			o = req.Fail()
+		default:
+			select {
+			case o = <-req.Orders():
+			case <-r.Context().Done():
+				return
+			case <-f.hurry:
+				o = req.Fail()
+			case <-overdue.C:
+				o = req.Fail()
+			}
 		}
 		switch o.Kind {
 		case store.SendOut:
