See a client that leaves at once, and send nothing on for it

Cause: a client's leaving was known by the request's context alone. net/http cancels that once its background read has met the close: after the request is opened, and not at all once one byte of something further has come. A handler that writes nothing then has net/http write an empty answer with status 200, which a client that ended its sending alone would take for a result.

Change: the connection is looked at for a close before a request is opened, and again right before an attempt's first byte. What comes behind a request while that waits is dropped, up to a whole request's size, so that the close behind it is seen. A client that has gone gets nothing written.

Seen: each of five tests on real sockets fails without its guard. A further test holds that an attempt tells what is left to the client then; no fault was found there.

--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -28,6 +28,7 @@
 	id             string
 	headers        []byte // further ones that go on, each with its line end
 	body           []byte
+	client         *clientConn // that it came on; nil: none that can be looked at
 
 	budget *Budget
 	place  int64 // bytes of the budget that the body holds
--- a/internal/wire/clients.go
+++ b/internal/wire/clients.go
@@ -169,6 +169,7 @@
 	since     time.Time
 	proper    bool // a proper request has been answered
 	taken     bool // a whole request has come, its answer is not begun
+	behind    int  // bytes that came behind it and were dropped
 	answering bool // its answer is being written; what comes now is a next request
 	last      bool // no further request is read
 
@@ -178,8 +179,15 @@
 	extra bool  // more has come than the request
 }
 
+// behindMost is how much may come behind a request that has not been answered: clients send one request at a time, and whoever sends
+// more than a whole one on top waits for nothing that could be answered in order.
+const behindMost = headerMost + bodyMost
+
+var errBehind = errors.New("too much came behind a request that is not answered yet")
+
 // Read reads and notes. A connection that is being closed by us gives nothing any more: marking and reading exclude each
-// other, so that no request is read from it and then lost.
+// other, so that no request is read from it and then lost. What comes behind a request while that waits for its answer is dropped, as
+// the answer is the connection's last one then: net/http would stop looking at the first such byte, and not see the client leave.
 func (c *clientConn) Read(p []byte) (n int, err error) {
 	if c.raw == nil || len(p) == 0 {
 		n, err = c.Conn.Read(p)
@@ -195,17 +203,28 @@
 			err = net.ErrClosed
 			return true
 		}
+		var drop [4 << 10]byte
 		for {
-			n, err = syscall.Read(int(fd), p)
-			if !errors.Is(err, syscall.EINTR) {
-				break
+			into := p
+			if c.taken {
+				into = drop[:]
+			}
+			n, err = syscall.Read(int(fd), into)
+			switch {
+			case errors.Is(err, syscall.EINTR):
+			case errors.Is(err, syscall.EAGAIN):
+				return false
+			case c.taken && n > 0:
+				c.extra, c.behind = true, c.behind+n
+				if c.behind > behindMost {
+					n, err = 0, errBehind
+					return true
+				}
+			default:
+				c.note(p[:max(n, 0)])
+				return true
 			}
 		}
-		if errors.Is(err, syscall.EAGAIN) {
-			return false
-		}
-		c.note(p[:max(n, 0)])
-		return true
 	})
 	var timeout net.Error
 	switch {
@@ -271,7 +290,7 @@
 	defer c.mu.Unlock()
 	c.last = last || c.extra || c.head.coded // a coded body's end is not known here, so neither is what is behind it
 	c.proper = c.proper || c.taken
-	c.taken, c.answering = false, true
+	c.taken, c.answering, c.behind = false, true, 0
 	c.began, c.left, c.head = false, 0, headScan{line: c.head.line[:0]}
 	return c.last
 }
@@ -331,6 +350,16 @@
 	return err == nil && n > 0
 }
 
+// gone tells whether the client has ended its sending, by a look at what has come and nobody has read. Guards against a request that
+// is sent on though its client left before we came to read that, as after a stall: net/http tells it once it has read it.
+func (c *clientConn) gone() bool {
+	if c == nil || c.raw == nil {
+		return false
+	}
+	n, err := store.Peek(c.raw)
+	return n == 0 && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
+}
+
 // CloseWrite ends what we send: net/http does so before it closes a connection whose client is still sending.
 func (c *clientConn) CloseWrite() error {
 	c.leave()
--- a/internal/wire/endings_test.go
+++ b/internal/wire/endings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -32,6 +33,20 @@
 	return w, open
 }
 
+// serverConn is the front's side of its one connection.
+func serverConn(t *testing.T, g *rig) (c *clientConn) {
+	t.Helper()
+	clients := g.front.Clients
+	until(t, "the connection is known", func() bool {
+		clients.mu.Lock()
+		defer clients.mu.Unlock()
+		for c = range clients.open {
+		}
+		return c != nil
+	})
+	return c
+}
+
 // At the end of all an order to send and the end are both ready, and which of two ready cases a select takes is chance.
 func TestNothingIsSentOnAfterTheEnd(t *testing.T) {
 	w := runner(t, serves)
@@ -50,6 +65,155 @@
 	g.settled(t)
 }
 
+// net/http stops looking at the first byte behind a request, so a client that goes after that was seen only by its answer.
+func TestAClientThatLeavesBehindAFurtherByteIsGone(t *testing.T) {
+	w, open := gate(t)
+	g := newRig(t, w.addr, 0)
+	c := raw(t, g, rawHead+"Content-Length: 0\r\n\r\n")
+	until(t, "the worker has it", func() bool { return w.requests() == 1 })
+	seen := serverConn(t, g)
+	io.WriteString(c, "POST /search HT")
+	until(t, "the further bytes are read", func() bool {
+		seen.mu.Lock()
+		defer seen.mu.Unlock()
+		return seen.extra
+	})
+	c.Close()
+	until(t, "the client counts as gone", func() bool { return g.store.Counters.Gone.Load() == 1 })
+	open()
+	g.settled(t)
+}
+
+// Whoever sends on and on behind its request is no client to wait for, and what it sends takes no memory.
+func TestAFloodBehindARequestEndsIt(t *testing.T) {
+	w, _ := gate(t)
+	g := newRig(t, w.addr, 0)
+	c := raw(t, g, rawHead+"Content-Length: 0\r\n\r\n")
+	until(t, "the worker has it", func() bool { return w.requests() == 1 })
+	go c.Write(make([]byte, 4*behindMost))
+	until(t, "the client counts as gone", func() bool { return g.store.Counters.Gone.Load() == 1 })
+	c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if b, _ := io.ReadAll(c); len(b) != 0 {
+		t.Fatalf("it was told %q", b)
+	}
+}
+
+// A client that has ended its sending alone still reads: it must not take net/http's own empty answer for a result.
+func TestAClientThatEndsItsSendingIsToldNothing(t *testing.T) {
+	w, _ := gate(t)
+	g := newRig(t, w.addr, 0)
+	c := raw(t, g, rawHead+"Content-Length: 0\r\n\r\n")
+	until(t, "the worker has it", func() bool { return w.requests() == 1 })
+	c.(*net.TCPConn).CloseWrite()
+	c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	b, err := io.ReadAll(c)
+	if len(b) != 0 || err != nil && !strings.Contains(err.Error(), "reset") {
+		t.Fatalf("it was told %q, %v", b, err)
+	}
+	until(t, "it counts as gone", func() bool { return g.store.Counters.Gone.Load() == 1 })
+}
+
+// goneClient is the front's side of a connection on which the client has sent something and left, and nobody has read either.
+func goneClient(t *testing.T) *clientConn {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	near, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	far, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { far.Close() })
+	c := (&Clients{Counters: new(store.Counters)}).add(far)
+	if c.gone() {
+		t.Fatal("a client that is there counts as gone")
+	}
+	near.Close()
+	until(t, "its leaving is here", c.gone)
+	return c
+}
+
+// A client whose leaving has come and was not read yet, as after a stall, must get nothing sent on.
+func TestNothingIsSentOnForAClientThatHasLeft(t *testing.T) {
+	w := runner(t, serves)
+	g := newRig(t, w.addr, 0)
+	_, a := attemptOf(t, g.store, "search", 5*time.Second)
+	(&Runners{Pool: g.pool, Counters: &g.store.Counters}).attempt(a, &call{method: "POST", target: "/search", id: "id-1", client: goneClient(t)})
+	if g.store.Counters.Outcomes[rules.NotSent].Load() != 1 || w.requests() != 0 {
+		t.Fatalf("%d requests at the worker, %v", w.requests(), g.store.Counters.Fields())
+	}
+}
+
+// A request that is read after its client has left is not opened at all.
+func TestARequestWhoseClientHasLeftIsNotOpened(t *testing.T) {
+	w := runner(t, serves)
+	g := newRig(t, w.addr, 0)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 20 {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(c, strings.Replace(rawHead, "Id: a", fmt.Sprintf("Id: %d", i), 1)+"Content-Length: 4\r\n\r\nbody")
+		c.Close()
+	}
+	held := &backlog{Listener: l, ready: make(chan bool)}
+	server := g.front.Server()
+	defer server.Close()
+	go server.Serve(g.front.Clients.Listen(held))
+	close(held.ready) // all of it has come, and all have left, before the first is read
+	until(t, "all were read", func() bool { return g.store.Counters.Gone.Load() == 20 })
+	if sent, taken := g.store.Counters.Sent.Load(), g.store.Counters.Taken.Load(); sent != 0 || taken != 0 || w.requests() != 0 {
+		t.Fatalf("%d opened, %d attempts, %d at the worker", taken, sent, w.requests())
+	}
+}
+
+// backlog is a listener whose connections are accepted once ready is closed.
+type backlog struct {
+	net.Listener
+	ready chan bool
+}
+
+// A further attempt tells its worker what is left to the client then, not what was left at the first.
+func TestAFurtherAttemptTellsTheTimeThatIsLeft(t *testing.T) {
+	type told struct {
+		at time.Time
+		ms int64
+	}
+	tells := make(chan told, 8)
+	first := atomic.Bool{}
+	first.Store(true)
+	w := runner(t, func(c net.Conn, r *http.Request) bool {
+		ms, _ := strconv.ParseInt(r.Header.Get("X-Deadline-Ms"), 10, 64)
+		tells <- told{time.Now(), ms}
+		if first.Swap(false) {
+			time.Sleep(60 * time.Millisecond) // time that the first attempt takes from the client
+			io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+			return true
+		}
+		return serves(c, r)
+	})
+	g := newRig(t, w.addr, 0)
+	g.front.Store = newStoreOf(t, 0, strings.Replace(basic, `"attempts_cap":1`, `"attempts_cap":3`, 1))
+	g.front.Store.News(upAt(w.addr))
+	if status, _, _ := do(t, request(t, g.url, "search", "a", "")); status != 200 {
+		t.Fatalf("status %d", status)
+	}
+	one, two := <-tells, <-tells
+	if gone := two.at.Sub(one.at).Milliseconds(); gone < 60 || two.ms > one.ms-gone+1 {
+		t.Fatalf("%d ms told at first, %d ms %d ms later", one.ms, two.ms, gone)
+	}
+}
+
 // The time in which repeats are dropped may end while a connection comes up.
 func TestARepeatDoesNotGoOutAfterItsWindow(t *testing.T) {
 	s := newStoreOf(t, 0, strings.NewReplacer(`"attempts_cap":1`, `"attempts_cap":3`, `"name":"search","deadline":5,"aim":0.4,"effect":"free"`,
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -130,7 +130,11 @@
 	defer c.release()
 	end := came.Add(job.Left - answerSpare)
 	job.Left = time.Until(end)
-	if f.Clients.Over() {
+	switch {
+	case c.client.gone():
+		f.Store.Counters.Gone.Add(1)
+		leave()
+	case f.Clients.Over():
 		f.turnDown(w, r, errNoPlace)
 		return
 	}
@@ -148,14 +152,14 @@
 		// First what ends the request: of several that are ready the next select takes any, and nothing is sent on past its end.
 		select {
 		case <-r.Context().Done():
-			return
+			leave()
 		case <-f.hurry:
 			o = req.Fail()
 		default:
 			select {
 			case o = <-req.Orders():
 			case <-r.Context().Done():
-				return
+				leave()
 			case <-f.hurry:
 				o = req.Fail()
 			case <-overdue.C:
@@ -184,6 +188,11 @@
 	}
 }
 
+// leave ends the service of a request whose client has gone: the connection is closed with nothing written. Guards against the empty
+// answer with status 200 that net/http writes for a handler that wrote none: a client that has ended its sending alone would take it
+// for a result.
+func leave() { panic(http.ErrAbortHandler) }
+
 // answer writes a final answer.
 func (f *Front) answer(w http.ResponseWriter, r *http.Request, status int, body []byte) {
 	if f.reply(w, r, status, body, false) != nil {
@@ -270,7 +279,7 @@
 	if !plain(target, targetMost) {
 		return job, nil, errors.New("the path is no plain word of 4096 characters at most")
 	}
-	c = &call{method: r.Method, target: target, id: job.ID, budget: &f.Bodies}
+	c = &call{method: r.Method, target: target, id: job.ID, client: connOf(r.Context()), budget: &f.Bodies}
 	for _, name := range []string{"Content-Type", "X-Class", "X-Tenant", "X-Key"} {
 		if v := r.Header.Get(name); v != "" {
 			if !plain(strings.ReplaceAll(v, " ", "_"), valueMost) {
--- a/internal/wire/runner.go
+++ b/internal/wire/runner.go
@@ -133,7 +133,8 @@
 		a.Ended(result, nil)
 		return
 	}
-	if !a.Clear() { // guards against a drain or a deadline that came during the dial
+	// Guards against a drain, a deadline or the client's leaving that came during the dial.
+	if !a.Clear() || c.client.gone() {
 		x.Pool.Put(conn)
 		a.Ended(rules.NotSent, nil)
 		return
