Find the connection that goes first in a crowd by one look, not by sorting all

Measured: each connection over the limit had all the others listed and sorted, with a lock and a look at the clock each: 0.20 ms an accept at 326 connections, 0.05 ms without a limit.

Change: the one that goes first is found by one look at each, with the clock read once: 0.10 ms an accept (client's side counted in).

Seen: with the sorting TestACrowdCostsAConnectionAlone fails by its memory at 1,000 connections; TestWhoGoesFirst holds the order.

--- a/internal/wire/clients.go
+++ b/internal/wire/clients.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -60,43 +59,50 @@
 	return conn
 }
 
-// choose marks connections to be closed as there are too many, but for the newest. The lock is held.
+// choose marks connections to be closed as there are too many, but for the newest. The lock is held. One look at each finds the next to
+// go: a crowd that comes over the limit costs a descriptor a connection, and must not cost those that are served their time.
 func (c *Clients) choose(newest *clientConn) (cut []*clientConn) {
-	if len(c.open) <= c.Most {
-		return nil
-	}
-	type candidate struct {
-		conn  *clientConn
-		rank  int
-		since time.Time
-	}
-	var all []candidate
-	for k := range c.open {
-		if rank, since := k.spare(); rank != needed && k != newest {
-			all = append(all, candidate{k, rank, since})
-		}
-	}
-	slices.SortFunc(all, func(a, b candidate) int {
-		if a.rank != b.rank {
-			return a.rank - b.rank
-		}
-		return a.since.Compare(b.since)
-	})
+	var passed map[*clientConn]bool // not to be closed yet
 	for _, evenSpeaking := range []bool{false, true} {
 		most := c.Most
 		if evenSpeaking {
 			most = c.Hard
 		}
-		for _, k := range all {
-			if most > 0 && len(c.open) > most && k.conn.mark(evenSpeaking) {
-				delete(c.open, k.conn)
-				cut = append(cut, k.conn)
+		clear(passed)
+		for most > 0 && len(c.open) > most {
+			k := c.first(newest, passed)
+			if k == nil {
+				break
+			}
+			if k.mark(evenSpeaking) {
+				delete(c.open, k)
+				cut = append(cut, k)
+				continue
 			}
+			if passed == nil {
+				passed = map[*clientConn]bool{}
+			}
+			passed[k] = true
 		}
 	}
 	return cut
 }
 
+// first is the connection that goes first of those that may, but for the newest and those passed over; nil where there is none. The
+// lock is held.
+func (c *Clients) first(newest *clientConn, passed map[*clientConn]bool) (best *clientConn) {
+	now, least, oldest := time.Now(), needed, time.Time{}
+	for k := range c.open {
+		if k == newest || passed[k] {
+			continue
+		}
+		if rank, since := k.spare(now); rank < least || rank == least && rank != needed && since.Before(oldest) {
+			best, least, oldest = k, rank, since
+		}
+	}
+	return best
+}
+
 // SetMost sets how many connections there may be; those go that are too many now and are owed nothing.
 func (c *Clients) SetMost(most, hard int) {
 	c.mu.Lock()
@@ -125,8 +131,9 @@
 func (c *Clients) CutIdle() {
 	c.mu.Lock()
 	var cut []*clientConn
+	now := time.Now()
 	for k := range c.open {
-		if rank, _ := k.spare(); rank == kept && k.mark(false) {
+		if rank, _ := k.spare(now); rank == kept && k.mark(false) {
 			delete(c.open, k)
 			cut = append(cut, k)
 		}
@@ -306,7 +313,7 @@
 func (c *clientConn) stays() bool { return c.taken || c.answering || c.cut }
 
 // spare tells when the connection may be closed, and how long it has said nothing whole.
-func (c *clientConn) spare() (rank int, since time.Time) {
+func (c *clientConn) spare(now time.Time) (rank int, since time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
@@ -314,7 +321,7 @@
 		return needed, c.since
 	case c.last:
 		return leaving, c.since
-	case !c.proper && time.Since(c.since) < freshFor:
+	case !c.proper && now.Sub(c.since) < freshFor:
 		return fresh, c.since
 	case !c.proper:
 		return strange, c.since
--- a/internal/wire/clients_test.go
+++ b/internal/wire/clients_test.go
@@ -48,6 +48,76 @@
 }
 
 // A process that leaves waits for what has begun to come, waits unread, or may come at once, and for nothing else.
+// A crowd of idle connections over the limit costs each that comes one look at the others, and no memory that grows with them: the
+// dispatcher's time belongs to those that are served.
+func TestACrowdCostsAConnectionAlone(t *testing.T) {
+	for _, most := range []int{10, 1000} {
+		c := &Clients{Most: most, Counters: new(store.Counters)}
+		for range most {
+			near, far := net.Pipe()
+			defer far.Close()
+			c.add(near)
+		}
+		near, far := net.Pipe()
+		defer far.Close()
+		one := &clientConn{Conn: near, clients: c, since: time.Now()}
+		allocs := testing.AllocsPerRun(20, func() {
+			c.mu.Lock()
+			c.open[one] = true
+			cut := c.choose(one)
+			for _, k := range cut { // for the next run
+				k.cut, c.open[k] = false, true
+			}
+			delete(c.open, one)
+			c.mu.Unlock()
+			if len(cut) != 1 {
+				t.Fatalf("%d of %d were cut for one", len(cut), most)
+			}
+		})
+		if allocs > 2 {
+			t.Errorf("with %d connections one that comes takes %v pieces of memory, want 2 at the most", most, allocs)
+		}
+	}
+}
+
+// Of those that may go the one goes first that is least of use, and of these the longest silent.
+func TestWhoGoesFirst(t *testing.T) {
+	now := time.Now()
+	c := &Clients{Counters: new(store.Counters)}
+	c.open = map[*clientConn]bool{}
+	add := func(change func(*clientConn)) *clientConn {
+		near, far := net.Pipe()
+		t.Cleanup(func() { far.Close() })
+		k := &clientConn{Conn: near, clients: c, since: now.Add(-time.Minute)}
+		change(k)
+		c.open[k] = true
+		return k
+	}
+	add(func(k *clientConn) { k.taken = true })
+	order := []*clientConn{
+		add(func(k *clientConn) { k.last = true }),
+		add(func(k *clientConn) { k.since = now.Add(-2 * time.Minute) }),
+		add(func(k *clientConn) {}),
+		add(func(k *clientConn) { k.proper, k.since = true, now.Add(-3*time.Minute) }),
+		add(func(k *clientConn) { k.proper = true }),
+		add(func(k *clientConn) { k.since = now.Add(time.Minute) }), // has just come
+	}
+	for most := len(order); most > 0; most-- {
+		c.Most = most
+		cut := c.choose(nil)
+		if want := order[len(order)-most]; len(cut) != 1 || cut[0] != want {
+			t.Fatalf("%d too many: not the one that goes first", len(order)-most+1)
+		}
+	}
+	if c.Most = 0; len(c.open) != 1 {
+		t.Fatalf("%d are left", len(c.open))
+	}
+	c.Most = 1
+	if near, _ := net.Pipe(); len(c.choose(&clientConn{Conn: near})) != 0 {
+		t.Fatal("one that is owed an answer was cut")
+	}
+}
+
 func TestOwingIsWhatMayStillHaveToBeAnswered(t *testing.T) {
 	c := &Clients{Most: 9, Hard: 9, Counters: &store.Counters{}}
 	idle, _ := joined(t, c)
--- a/internal/wire/front_test.go
+++ b/internal/wire/front_test.go
@@ -399,7 +399,7 @@
 	g.front.Clients.mu.Lock()
 	defer g.front.Clients.mu.Unlock()
 	for c := range g.front.Clients.open {
-		if r, _ := c.spare(); r == rank {
+		if r, _ := c.spare(time.Now()); r == rank {
 			n++
 		}
 	}
