Let a client take its last answer before its connection is closed

Cause: a connection was closed at once after its last answer. Over bytes that nobody has read, or that come a moment later, that is a reset, and what the kernel still has of the answer is lost with it. Our own end did the same to all.

Change: one way of closing after an answer: our sending ends, the client's close is waited for up to 0.25 s, what came meanwhile is dropped, then the connection is closed. Until then it is the first to go where there are too many. Where there are too many, and where an idle connection is cut, it closes at once as before: a request that crosses that has not been read, and its client sends it again.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -459,7 +459,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), closeWithin)
 	defer cancel()
 	err := n.server.Shutdown(ctx)
-	n.server.Close() // what has said nothing yet
+	n.server.Close()          // what has said nothing yet
+	n.front.Clients.Wait(ctx) // our end resets what a client has not read
 	if n.door != nil {
 		n.door.Close(ctx)
 	}
--- a/internal/store/pool.go
+++ b/internal/store/pool.go
@@ -249,12 +249,16 @@
 // Peek looks at what has come on a connection and leaves it there: n is 0 at its end, and err is EAGAIN where nothing
 // has come. It does not wait, nor for another read that does.
 func Peek(raw syscall.RawConn) (n int, err error) {
-	outer := raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
+	outer := raw.Control(func(fd uintptr) { n, err = PeekAt(fd) })
 	if outer != nil {
 		return 0, outer
 	}
 	return n, err
 }
+
+// PeekAt does the same where the descriptor is at hand.
+func PeekAt(fd uintptr) (n int, err error) {
+	var b [1]byte
+	n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return n, err
+}
--- a/internal/wire/clients.go
+++ b/internal/wire/clients.go
@@ -54,7 +54,7 @@
 	c.mu.Unlock()
 	for _, k := range cut {
 		c.Counters.ClientsCut.Add(1)
-		k.Close() // returns when the descriptor is free
+		k.release() // returns when the descriptor is free
 	}
 	return conn
 }
@@ -111,7 +111,7 @@
 	c.mu.Unlock()
 	for _, k := range cut {
 		c.Counters.ClientsCut.Add(1)
-		k.Close()
+		k.release()
 	}
 }
 
@@ -127,6 +127,28 @@
 	return n
 }
 
+// Wait waits until no connection is left, or ctx ends.
+func (c *Clients) Wait(ctx context.Context) {
+	t := time.NewTicker(waitEvery)
+	defer t.Stop()
+	for ctx.Err() == nil && c.Open() > 0 {
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+	}
+}
+
+// waitEvery is a part of what is waited for: a client's close, some milliseconds after our own.
+const waitEvery = time.Millisecond
+
+// Open is how many connections there are.
+func (c *Clients) Open() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open)
+}
+
 // CutIdle closes the connections that stand idle after an answer.
 func (c *Clients) CutIdle() {
 	c.mu.Lock()
@@ -140,7 +162,7 @@
 	}
 	c.mu.Unlock()
 	for _, k := range cut {
-		k.Close()
+		k.release()
 	}
 }
 
@@ -169,7 +191,8 @@
 	net.Conn
 	raw     syscall.RawConn // nil: the connection has no descriptor
 	clients *Clients
-	once    sync.Once
+	once    sync.Once // of Close
+	free    sync.Once // of release
 
 	mu        sync.Mutex
 	cut       bool // closed by us: nothing is read any more
@@ -179,6 +202,8 @@
 	behind    int  // bytes that came behind it and were dropped
 	answering bool // its answer is being written; what comes now is a next request
 	last      bool // no further request is read
+	replied   bool // what was said last on it is an answer of ours
+	ended     bool // our sending has ended
 
 	head  headScan
 	began bool  // something of the request has come
@@ -306,7 +331,7 @@
 func (c *clientConn) answered() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.answering, c.since = false, time.Now()
+	c.answering, c.since, c.replied = false, time.Now(), true
 }
 
 // stays tells that the connection must not be closed for want of room, or is already. The lock is held.
@@ -367,9 +392,16 @@
 	return n == 0 && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
 }
 
-// CloseWrite ends what we send: net/http does so before it closes a connection whose client is still sending.
+// CloseWrite ends what we send: net/http does so before it closes a connection whose client is still sending, and waits itself then.
 func (c *clientConn) CloseWrite() error {
 	c.leave()
+	return c.endSending()
+}
+
+func (c *clientConn) endSending() error {
+	c.mu.Lock()
+	c.ended = true
+	c.mu.Unlock()
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return w.CloseWrite()
 	}
@@ -387,9 +419,51 @@
 	c.last = true
 }
 
-// Close closes the connection and forgets it, once.
+// lingerMost is for a client to take its last answer and close: a round trip of the longest ways that platforms have between a client
+// and a dispatcher beside it, many times over. Until then the connection is the first to go where there are too many.
+const lingerMost = 250 * time.Millisecond
+
+// Close ends the connection, once. Where its last answer has just been written it ends our sending alone, and leaves the rest to the
+// client's close, for a bounded time: closed at once over bytes that nobody has read, or that come a moment later, the connection is
+// reset, and an answer that the client has not read is lost with it.
 func (c *clientConn) Close() (err error) {
 	c.once.Do(func() {
+		c.mu.Lock()
+		linger := c.raw != nil && c.replied && time.Since(c.since) < lingerMost && !c.ended && !c.cut
+		c.mu.Unlock()
+		c.leave()
+		if !linger {
+			err = c.release()
+			return
+		}
+		c.SetReadDeadline(time.Now().Add(lingerMost))
+		err = c.endSending()
+		go c.linger()
+	})
+	return err
+}
+
+// linger waits for the client's close. What comes meanwhile is no request of ours: it is dropped at the end, as a close over it would
+// reset the connection and take with it what the kernel still has of the answer.
+func (c *clientConn) linger() {
+	defer c.release()
+	c.raw.Read(func(fd uintptr) bool {
+		n, err := store.PeekAt(fd)
+		return n <= 0 && !errors.Is(err, syscall.EAGAIN)
+	})
+	c.raw.Control(func(fd uintptr) {
+		var drop [4 << 10]byte
+		for range behindMost / len(drop) {
+			if n, err := syscall.Read(int(fd), drop[:]); n <= 0 && !errors.Is(err, syscall.EINTR) {
+				return
+			}
+		}
+	})
+}
+
+// release closes the connection at once and forgets it.
+func (c *clientConn) release() (err error) {
+	c.free.Do(func() {
 		c.leave()
 		err = c.Conn.Close()
 		c.clients.mu.Lock()
--- a/internal/wire/endings_test.go
+++ b/internal/wire/endings_test.go
@@ -1,7 +1,9 @@
 package wire
 
 import (
+	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -9,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -183,6 +186,78 @@
 	ready chan bool
 }
 
+func (l *backlog) Accept() (net.Conn, error) {
+	<-l.ready
+	return l.Listener.Accept()
+}
+
+// smallReceive leaves a client little room for what it has not read, roomy the front all that it has to say.
+func smallReceive(_, _ string, raw syscall.RawConn) (err error) {
+	outer := raw.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
+	return errors.Join(outer, err)
+}
+
+type roomy struct{ net.Listener }
+
+func (l roomy) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		err = c.(*net.TCPConn).SetWriteBuffer(2 << 20)
+	}
+	return c, err
+}
+
+// A close over unread bytes resets the connection, and the rest of the answer that the kernel still has goes with it.
+func TestTheLastAnswerArrivesThoughBytesCameBehindTheRequest(t *testing.T) {
+	for _, late := range []time.Duration{lingerMost / 4, 2 * lingerMost} { // while we wait for the client's close, and after
+		lastAnswer(t, late)
+	}
+}
+
+// lastAnswer is one request whose client sends something behind the answer and reads that so late.
+func lastAnswer(t *testing.T, late time.Duration) {
+	t.Helper()
+	const size = 512 << 10 // more than a client takes before it reads
+	result := strings.Repeat("r", size)
+	w := runner(t, func(c net.Conn, r *http.Request) bool {
+		io.WriteString(c, okHead+chunk(line(r.Header.Get("X-Request-Id"), "done", `,"result":"`+result+`"`))+"0\r\n\r\n")
+		return true
+	})
+	g := newRig(t, w.addr, 0)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := g.front.Server()
+	defer server.Close()
+	go server.Serve(g.front.Clients.Listen(roomy{l}))
+	d := net.Dialer{Control: smallReceive}
+	c, err := d.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	// The first request's answer is the last one, as something came behind it.
+	io.WriteString(c, strings.Replace(rawHead, "Host: h", "Host: h\r\nConnection: close", 1)+"Content-Length: 0\r\n\r\n")
+	seen := serverConn(t, g)
+	until(t, "the answer is with the kernel", func() bool {
+		seen.mu.Lock()
+		defer seen.mu.Unlock()
+		return seen.last && !seen.answering && !seen.taken
+	})
+	io.WriteString(c, "POST /search HTTP/1.1\r\n")
+	c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	res, err := http.ReadResponse(bufio.NewReaderSize(c, 512), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(late)
+	n, err := io.Copy(io.Discard, res.Body)
+	if err != nil || n != size {
+		t.Fatalf("read %v late: %d of %d bytes came, %v", late, n, size, err)
+	}
+}
+
 // A further attempt tells its worker what is left to the client then, not what was left at the first.
 func TestAFurtherAttemptTellsTheTimeThatIsLeft(t *testing.T) {
 	type told struct {
