Stay at a stop for a request of which something has come

Cause: a stop ended half a second after it closed idle connections, once no request was open. A request whose first bytes had come was none yet: whoever writes slowly met our end with it, though it would have been taken with its last byte.

Change: the stop also waits while a connection is owed something or a request has begun to come on it, at most until it has to end. A beside-running process was waited for that way already.

Seen: TestStopWaitsForARequestThatHasBegun fails without it (half a head while stopping, the rest 0.7 s later).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -401,7 +401,8 @@
 	n.front.Stop()
 	n.front.Clients.CutIdle() // new ones are taken still
 	quiet := time.Now().Add(lingerFor)
-	for time.Now().Before(by) && (time.Now().Before(quiet) || n.store.Pending() > 0) {
+	// A request of which something has come is waited for as well: once its last byte is here it has been taken.
+	for time.Now().Before(by) && (time.Now().Before(quiet) || n.store.Pending() > 0 || n.front.Clients.Owing() > 0) {
 		time.Sleep(5 * time.Millisecond)
 	}
 	return n.end()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -326,6 +326,39 @@
 	}
 }
 
+// A request of which half has come when we stop has been taken once the rest is here: whoever writes slowly must not meet our end.
+func TestStopWaitsForARequestThatHasBegun(t *testing.T) {
+	w := newWorld(t)
+	n := w.start(t, "5")
+	close(w.release)
+	go func() {
+		for range w.got {
+		}
+	}()
+	c, err := net.Dial("tcp", n.address.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	stopped := make(chan error, 1)
+	go func() { stopped <- n.stop() }()
+	await(t, "no connection is kept any more", n.front.Stopping)
+	io.WriteString(c, "POST /search HTTP/1.1\r\nHost: h\r\nX-Request-Id: slow\r\nX-Class: search\r\nX-Deadline-Ms: 5000\r\nContent-Length: 4\r\n")
+	select { // longer than we would stay for nothing
+	case err := <-stopped:
+		t.Fatalf("it has ended over half a request: %v", err)
+	case <-time.After(lingerFor + 200*time.Millisecond):
+	}
+	io.WriteString(c, "\r\nbody")
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || res.StatusCode != 200 || !res.Close {
+		t.Fatalf("%+v, %v", res, err)
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
+
 // lines collects what is logged.
 type lines struct {
 	mu  sync.Mutex
