Derive the waits on discovery from the 6 s after which a change counts as told

Need: a change counts as told 6 s after discovery had it and could be reached, whatever became of a call or a watch. Added up, the waits could pass that: asked over a network a silent watch took 5 s, a wait up to 1 s, a call up to 1 s to connect and 5 s for its head; a refusal up to four times the fleet's size times 0.2 s; a whole list that stops in the middle 3 to 5 s, and without end if it came in lines.

Change: one table of waits, for discovery that is asked and for an agent of our own, with the two sums beside it: a silent watch and one lost call 5.7 and 5.2 s, two refusals 5.8 and 5.6 s. A call has one bound for connecting and its head, and a short one more for a whole list. Refusals are waited for 1.8 s at the most where the calls of the whole fleet, 0.2 s each, fit into the 6 s (30 dispatchers).

TestSilentWatchIsGivenUp held the wait for a line of a whole list; that is bound by its call now, and so is the test. TestStartGoesOnFromTheKnownList had a watch that says nothing for 4 s, which now is a dead one; it sends its empty lines.

Seen: TestWaitsOnDiscoveryKeepWithinTheTerm and TestAListThatStopsInTheMiddleIsGivenUp fail without.

--- a/internal/wire/discovery.go
+++ b/internal/wire/discovery.go
@@ -21,21 +21,45 @@
 	"birchfork/rules"
 )
 
+// toldWithin is the platform's word on silence and on calls that came to nothing: whatever became of a call, and however a watch
+// fell silent, a change counts as told so long after discovery had it and could be reached.
+const toldWithin = 6 * time.Second
+
+// patience is how long we wait where discovery says nothing. Its sums are bound by toldWithin, see silent and refused.
+type patience struct {
+	quiet time.Duration // a watch without a line, which is due every 2 s, is gone
+	call  time.Duration // one call: to connect, and for the head of its answer ...
+	list  time.Duration // ... and so much more for the whole list, where that was asked for
+	retry time.Duration // between calls that came to nothing, at the most
+	turn  time.Duration // after a call that was turned away, at the most
+}
+
+// The patience with discovery that is asked over a network, and with an agent on our own machine to which lists are pushed. That one
+// answers at once and at no cost; it is silent while discovery is down, and what it has counts as told from the moment of its return:
+// sends to a runner that drains may go on for 0.5 s then, or what the settings say. Two calls in that time, at the least.
+var (
+	asked = patience{quiet: 3 * time.Second, call: 800 * time.Millisecond, list: 300 * time.Millisecond, retry: 250 * time.Millisecond,
+		turn: 1800 * time.Millisecond}
+	pushed = patience{quiet: 3 * time.Second, call: 150 * time.Millisecond, list: 850 * time.Millisecond, retry: 100 * time.Millisecond,
+		turn: 1800 * time.Millisecond}
+)
+
+// callsLost is how many calls in a row may come to nothing, and the next one still tells us in time.
+const callsLost = 1
+
+// silent is the longest from a watch's last line to the whole list by another call.
+func (p patience) silent() time.Duration {
+	return p.quiet + (callsLost+1)*(p.retry+p.call+p.list)
+}
+
+// refused is the longest from a call that was turned away to the whole list by a further one.
+func (p patience) refused() time.Duration { return (callsLost + 1) * (p.turn + p.call + p.list) }
+
 // Times and bounds of the watch.
 const (
-	watchDial  = 1 * time.Second
-	watchQuiet = 5 * time.Second // an empty line is due every 2 s: on longer silence the watch is gone
-	retryFirst = 50 * time.Millisecond
-	retryMost  = 1 * time.Second // after a move the new list is due within 4 s
-
-	// Where lists are pushed, the other end is an agent on our own machine, which answers at once and at no cost. It is silent while
-	// discovery is down, and what it has counts as told from the moment of its return: sends to a runner that drains may go on for
-	// 0.5 s then, or what the settings say. Two calls in that time, at the least.
-	pushedHead  = 150 * time.Millisecond
-	pushedRetry = 100 * time.Millisecond
-	pushedQuiet = 3 * time.Second // one line may be late
-
+	retryFirst  = 50 * time.Millisecond
 	callTime    = 200 * time.Millisecond // of discovery for one call, by which a fleet's calls are spread
+	busyLeast   = 1 * time.Second        // of that spread
 	busyDoubles = 2                      // times that the spread doubles at the most
 	newsMost    = 8 << 20                // bytes of one list
 	sinceMost   = 1e14                   // milliseconds: no start is that late
@@ -191,11 +215,12 @@
 
 func (d *Discovery) watch(address string, known bool, index uint64) *watch {
 	ctx, stop := context.WithCancel(d.ctx)
-	w := &watch{address: address, of: d, quiet: watchQuiet, head: watchQuiet, stop: stop, resume: known, based: known, index: index,
-		spread: spread{span: time.Duration(d.fleet) * callTime, most: retryMost, random: d.random}}
+	wait := asked
 	if d.pushed {
-		w.quiet, w.head, w.spread.most = pushedQuiet, pushedHead, pushedRetry
+		wait = pushed
 	}
+	w := &watch{address: address, of: d, patience: wait, stop: stop, resume: known, based: known, index: index,
+		spread: spread{span: time.Duration(d.fleet) * callTime, patience: wait, random: d.random}}
 	go w.run(ctx)
 	return w
 }
@@ -230,10 +255,9 @@
 
 // watch follows the list at one address.
 type watch struct {
+	patience
 	address string
 	of      *Discovery
-	quiet   time.Duration // silent for longer it is given up ...
-	head    time.Duration // ... and a call whose answer has not begun by then
 	stop    context.CancelFunc
 	spread  spread
 	resume  bool // the next call may go on from index
@@ -265,8 +289,8 @@
 // spread draws the waits between calls. Dispatchers that were cut off together must not come back together: what is too
 // much at once stays too much, as calls that waited in vain cost discovery as much as others.
 type spread struct {
+	patience
 	span   time.Duration // over which the calls of the whole fleet fit
-	most   time.Duration // between calls where nothing says that there are too many
 	random func() float64
 	broken int // failures in a row
 	busy   int // ... that said that there are too many calls
@@ -279,13 +303,18 @@
 	}
 	var busy errBusy
 	if errors.As(err, &busy) {
-		span := max(s.span, retryMost)
+		span := max(s.span, busyLeast)
 		most := span << min(s.busy, busyDoubles)
 		s.busy++
-		// What it asks for is the same for all: the spread comes on top. It may be absurd.
-		return min(busy.after, span<<busyDoubles) + time.Duration((0.25+0.75*s.random())*float64(most))
+		// What it asks for is the same for all: the spread comes on top. It may be absurd. Neither may keep us from being told in
+		// time, where the calls of the whole fleet fit into that; a larger one would only jam discovery for longer.
+		after, drawn := min(busy.after, span<<busyDoubles), 0.25+0.75*s.random()
+		if s.span <= toldWithin {
+			return min(after+time.Duration(drawn*float64(most)), time.Duration((0.5+0.5*drawn)*float64(s.turn)))
+		}
+		return after + time.Duration(drawn*float64(most))
 	}
-	most := min(retryFirst<<min(s.broken, 10), s.most)
+	most := min(retryFirst<<min(s.broken, 10), s.retry)
 	s.broken++
 	return time.Duration((0.5 + 0.5*s.random()) * float64(most))
 }
@@ -293,7 +322,7 @@
 // check is how long after a watch was resumed its whole list is asked for: late, as it mostly confirms what is known, and
 // a fleet's checks must leave discovery its time for those that know nothing.
 func (s *spread) check() time.Duration {
-	return time.Duration((0.5 + 0.5*s.random()) * float64(max(s.span, retryMost)<<busyDoubles))
+	return time.Duration((0.5 + 0.5*s.random()) * float64(max(s.span, busyLeast)<<busyDoubles))
 }
 
 // run follows the list until ctx ends. Where the watch breaks or falls silent it begins again, after a wait; the list that
@@ -339,7 +368,7 @@
 	target := "/discovery/hosts?follow=1&since=" + strconv.FormatUint(w.index, 10)
 	w.mu.Unlock()
 	first := true
-	err = w.ask(ctx, target, func(l store.List) error {
+	err = w.ask(ctx, target, false, func(l store.List) error {
 		if first && resumed && !l.Whole {
 			checks.Go(func() { w.check(ctx, stop) })
 		}
@@ -352,7 +381,7 @@
 
 // whole asks for the whole list; it tells whether one was taken. Where anew is set it counts whatever its version is.
 func (w *watch) whole(ctx context.Context, anew bool) (told bool, err error) {
-	err = w.ask(ctx, "/discovery/hosts", func(l store.List) error {
+	err = w.ask(ctx, "/discovery/hosts", true, func(l store.List) error {
 		l.Whole = true
 		if anew {
 			w.mu.Lock()
@@ -404,20 +433,20 @@
 	}
 }
 
-// ask sends one request and hands each list of the answer over, until one cannot be read or none has come for as long as the watch
-// may be quiet. It returns an error in any case: io.EOF where the answer ended in order.
-func (w *watch) ask(ctx context.Context, target string, take func(store.List) error) error {
-	d := net.Dialer{Timeout: watchDial, KeepAlive: -1}
+// ask sends one request and hands each list of the answer over, until one cannot be read or no line has come for as long as the watch
+// may be quiet; an answer that is one list alone has to be there within the time of a call. It returns an error in any case: io.EOF
+// where the answer ended in order.
+func (w *watch) ask(ctx context.Context, target string, one bool, take func(store.List) error) error {
+	by := time.Now().Add(w.call)
+	d := net.Dialer{Deadline: by, KeepAlive: -1}
 	conn, err := d.DialContext(ctx, "tcp", w.address)
 	if err != nil {
 		return fmt.Errorf("connecting: %w", err)
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })()
-	alive := func(within time.Duration) error {
-		return errors.Join(conn.SetDeadline(time.Now().Add(within)), ctx.Err())
-	}
-	if err := alive(w.head); err != nil {
+	until := func(at time.Time) error { return errors.Join(conn.SetDeadline(at), ctx.Err()) }
+	if err := until(by); err != nil {
 		return err
 	}
 	req := "GET " + target + " HTTP/1.1\r\nHost: " + w.address + "\r\nAccept: application/json\r\n\r\n"
@@ -437,10 +466,14 @@
 	default:
 		return fmt.Errorf("status %d", res.StatusCode)
 	}
-	if err := alive(w.quiet); err != nil {
+	line := func() error { return until(time.Now().Add(w.quiet)) }
+	if one { // a list that stands on several lines and stops in the middle is no sign of life
+		line = func() error { return until(by.Add(w.list)) }
+	}
+	if err := line(); err != nil {
 		return err
 	}
-	body := &listReader{from: res.Body, line: func() error { return alive(w.quiet) }}
+	body := &listReader{from: res.Body, line: line}
 	lists := json.NewDecoder(body) // a list may stand on several lines
 	for {
 		body.left = newsMost
--- a/internal/wire/discovery_test.go
+++ b/internal/wire/discovery_test.go
@@ -220,7 +220,8 @@
 	release := make(chan bool)
 	defer close(release)
 	addr, _ := agent(t, func(c net.Conn) { io.WriteString(c, okHead); <-release })
-	w := &watch{address: addr, spread: spread{random: rand.Float64}, of: &Discovery{Store: s, Log: quiet()}, quiet: 30 * time.Millisecond, head: time.Minute}
+	w := &watch{address: addr, spread: spread{random: rand.Float64}, of: &Discovery{Store: s, Log: quiet()},
+		patience: patience{quiet: time.Minute, call: 30 * time.Millisecond}}
 	told, err := w.follow(context.Background())
 	if told || err == nil || !strings.Contains(err.Error(), "timeout") {
 		t.Fatalf("%v, %v", told, err)
@@ -257,7 +258,7 @@
 		}
 		callers := make([]caller, fleet)
 		for i := range callers {
-			callers[i].spread = spread{span: time.Duration(fleet) * callTime, most: retryMost, random: r.Float64}
+			callers[i].spread = spread{span: time.Duration(fleet) * callTime, patience: asked, random: r.Float64}
 			callers[i].at = callers[i].after(true, io.EOF)
 		}
 		told, calls, last := 0, 0, time.Duration(0)
@@ -285,8 +286,8 @@
 }
 
 func TestWaitsAreDrawnApart(t *testing.T) {
-	s := spread{span: 80 * callTime, most: retryMost, random: func() float64 { return 0 }}
-	high := spread{span: 80 * callTime, most: retryMost, random: func() float64 { return 1 }}
+	s := spread{span: 80 * callTime, patience: asked, random: func() float64 { return 0 }}
+	high := spread{span: 80 * callTime, patience: asked, random: func() float64 { return 1 }}
 	// At a carried call in 186 ms for 80, checks take discovery 15 of these seconds: it has room for others beside them.
 	if low, most := s.check(), high.check(); low != 32*time.Second || most != 64*time.Second {
 		t.Errorf("a check after %v to %v, want 32 s to 64 s", low, most)
@@ -321,7 +322,17 @@
 	busy := func(c net.Conn) { io.WriteString(c, "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n") }
 	addr, asked := agent(t,
 		busy,
-		func(c net.Conn) { io.WriteString(c, okHead+news(9, false, entryUp)); <-stay },
+		func(c net.Conn) { // a watch that lives, with its empty lines
+			io.WriteString(c, okHead+news(9, false, entryUp))
+			for {
+				select {
+				case <-stay:
+					return
+				case <-time.After(500 * time.Millisecond):
+					io.WriteString(c, chunk("\n"))
+				}
+			}
+		},
 		busy, // the check is not answered, and comes again
 		func(c net.Conn) { io.WriteString(c, okHead+news(9, true)+"0\r\n\r\n") },
 	)
@@ -436,11 +447,64 @@
 	for range 4 {
 		<-asked
 	}
-	if took := time.Since(began); took > watchQuiet { // one call alone would have waited for so long
+	if took := time.Since(began); took > 5*time.Second { // one call alone would have waited for so long
 		t.Errorf("it was asked five times in %v", took)
 	}
 }
 
+// The platform's page: whatever became of a call or a watch, a change counts as told 6 s after discovery had it and could be reached.
+func TestWaitsOnDiscoveryKeepWithinTheTerm(t *testing.T) {
+	for name, p := range map[string]patience{"asked": asked, "pushed": pushed} {
+		if sum := p.silent(); sum > toldWithin {
+			t.Errorf("%s: a watch that falls silent and a call that comes to nothing take %v, want %v at the most", name, sum, toldWithin)
+		}
+		if sum := p.refused(); sum > toldWithin {
+			t.Errorf("%s: calls that are turned away take %v, want %v at the most", name, sum, toldWithin)
+		}
+		if p.quiet < 2*time.Second+500*time.Millisecond {
+			t.Errorf("%s: a watch is given up after %v, and its empty lines come every 2 s", name, p.quiet)
+		}
+	}
+	if back := 2 * (pushed.retry + pushed.call); back > 500*time.Millisecond {
+		t.Errorf("an agent that has come back is asked again within %v, want two calls in the 0.5 s that a drain leaves", back)
+	}
+	for _, busy := range []errBusy{{status: 503}, {status: 503, after: time.Hour}} {
+		for fleet, fits := range map[int]bool{1: true, 9: true, 30: true, 80: false, 300: false} { // calls of 0.2 s in 6 s
+			s := spread{span: time.Duration(fleet) * callTime, patience: asked, random: func() float64 { return 1 }}
+			for i := range 6 {
+				if wait := s.after(false, busy); (wait <= asked.turn) != fits {
+					t.Errorf("%d dispatchers, refusal %d, to come back after %v: %v, where %v is in time", fleet, i, busy.after, wait, asked.turn)
+				}
+			}
+		}
+	}
+}
+
+// A whole list that stops in the middle is given up in the time of a call, however its lines stand.
+func TestAListThatStopsInTheMiddleIsGivenUp(t *testing.T) {
+	s := newStore(t, 0)
+	stay := make(chan bool)
+	defer close(stay)
+	addr, _ := agent(t, func(c net.Conn) {
+		io.WriteString(c, okHead)
+		for range 100 { // indented, a line now and then, and never whole
+			if _, err := io.WriteString(c, chunk("\n")); err != nil {
+				return
+			}
+			select {
+			case <-stay:
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	})
+	w := &watch{address: addr, spread: spread{random: rand.Float64}, of: &Discovery{Store: s, Log: quiet()},
+		patience: patience{quiet: time.Minute, call: 50 * time.Millisecond, list: 50 * time.Millisecond}}
+	told, err := w.follow(context.Background())
+	if told || err == nil || !strings.Contains(err.Error(), "timeout") {
+		t.Fatalf("%v, %v", told, err)
+	}
+}
+
 // A list without end takes no memory without end.
 func TestAListIsOnlySoLong(t *testing.T) {
 	r := &listReader{from: strings.NewReader("[1,2,3,4]"), left: 4, line: func() error { return nil }}
