Pass the Idempotency-Key of a request on to workers

Cause: of a client's headers only those that the first sites use went on. Workers drop repeats of a guarded class by this one; without it a repeat is another job to them, a second effect.

Change: Idempotency-Key goes on as it came.

TestJobGoesOnUnchangedAndItsResultComesBack fails without the name in the list.

--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -264,6 +264,10 @@
 	return control.Flush() // else what goes wrong with a short answer would show after our return
 }
 
+// passedOn are the headers of a client that go on to workers as they came, beside the id. Idempotency-Key is the standard name of what
+// workers drop repeats of a guarded class by: without it a repeat would be another job to them.
+var passedOn = []string{"Content-Type", "Idempotency-Key", "X-Class", "X-Tenant", "X-Key"}
+
 // readJob reads a whole request and decodes it. The call that it returns is to be released.
 func (f *Front) readJob(r *http.Request) (job store.Job, c *call, err error) {
 	counters := &f.Store.Counters
@@ -280,7 +284,7 @@
 		return job, nil, errors.New("the path is no plain word of 4096 characters at most")
 	}
 	c = &call{method: r.Method, target: target, id: job.ID, client: connOf(r.Context()), budget: &f.Bodies}
-	for _, name := range []string{"Content-Type", "X-Class", "X-Tenant", "X-Key"} {
+	for _, name := range passedOn {
 		if v := r.Header.Get(name); v != "" {
 			if !plain(strings.ReplaceAll(v, " ", "_"), valueMost) {
 				return job, nil, errors.New(name + ": it is no plain text of 1024 characters at most")
--- a/internal/wire/runner_test.go
+++ b/internal/wire/runner_test.go
@@ -22,7 +22,9 @@
 	w := runner(t, serves)
 	g := newRig(t, w.addr, 0)
 	for i, id := range []string{"one", "two"} {
-		status, body, _ := do(t, request(t, g.url, "search", id, "the body"))
+		sent := request(t, g.url, "search", id, "the body")
+		sent.Header.Set("Idempotency-Key", "job 7")
+		status, body, _ := do(t, sent)
 		if status != 200 || body != `made "it"` {
 			t.Fatalf("status %d, body %q", status, body)
 		}
@@ -31,6 +33,11 @@
 		if r.Method != "POST" || r.RequestURI != "/search/x%20y?q=1" || w.body[i] != "the body" || r.Header.Get("X-Request-Id") != id {
 			t.Fatalf("the worker saw %s %s, %q, %v", r.Method, r.RequestURI, w.body[i], r.Header)
 		}
+		for _, name := range []string{"Idempotency-Key", "X-Class", "X-Tenant"} { // workers drop repeats by the first
+			if got, want := r.Header.Get(name), sent.Header.Get(name); got != want {
+				t.Errorf("the worker saw %s %q, want %q", name, got, want)
+			}
+		}
 		if ms := r.Header.Get("X-Deadline-Ms"); len(ms) != 4 || ms >= "5000" || ms < "4000" {
 			t.Fatalf("X-Deadline-Ms %q", ms)
 		}
