Spread the calls of a large fleet that discovery leaves unanswered

Log lines of node n13: two refusals, then nine times 'the answer's head: i/o timeout' from 9.5 s to 16.7 s, a call every 0.9 s; node n4 alike.

Cause: the bound of 0.8 s for a call, set with the sums before this commit, is shorter than the second after which such a discovery itself gives up, and a call that was given up was made again within 0.25 s. Calls that wait in vain cost discovery as much as others, so it answered few.

Change: a call to discovery that is asked may take 1.2 s; where the fleet's calls do not fit into the 6 s, one that is not answered is waited for as a refused one is. The sums are 5.95 s and 5.2 s for a silent watch and one lost call (asked, pushed), 5.9 and 5.0 s for two refusals.

Tried and left: resuming every broken watch by its version, one call in place of two; a discovery that was started anew would be noticed late (TestVersionThatMeansNothingBringsTheWholeList fails).

TestUnansweredCallsOfALargeFleetAreSpread fails without, and with agents counted in.

--- a/internal/wire/discovery.go
+++ b/internal/wire/discovery.go
@@ -32,16 +32,17 @@
 	list  time.Duration // ... and so much more for the whole list, where that was asked for
 	retry time.Duration // between calls that came to nothing, at the most
 	turn  time.Duration // after a call that was turned away, at the most
+	jams  bool          // it has only so much time for calls, one that it does not answer may be one too many
 }
 
-// The patience with discovery that is asked over a network, and with an agent on our own machine to which lists are pushed. That one
+// The patience with discovery that is asked over a network, which itself gives up after a second what it cannot carry, and with an agent on our own machine to which lists are pushed. That one
 // answers at once and at no cost; it is silent while discovery is down, and what it has counts as told from the moment of its return:
 // sends to a runner that drains may go on for 0.5 s then, or what the settings say. Two calls in that time, at the least.
 var (
-	asked = patience{quiet: 3 * time.Second, call: 800 * time.Millisecond, list: 300 * time.Millisecond, retry: 250 * time.Millisecond,
-		turn: 1800 * time.Millisecond}
+	asked = patience{quiet: 2750 * time.Millisecond, call: 1200 * time.Millisecond, list: 250 * time.Millisecond,
+		retry: 150 * time.Millisecond, turn: 1500 * time.Millisecond, jams: true}
 	pushed = patience{quiet: 3 * time.Second, call: 150 * time.Millisecond, list: 850 * time.Millisecond, retry: 100 * time.Millisecond,
-		turn: 1800 * time.Millisecond}
+		turn: 1500 * time.Millisecond}
 )
 
 // callsLost is how many calls in a row may come to nothing, and the next one still tells us in time.
@@ -269,6 +270,9 @@
 
 var errOlder = errors.New("a version older than the newest came")
 
+// errUnanswered is a call whose answer did not begin in time, or not at all.
+var errUnanswered = errors.New("the answer's head")
+
 // errBusy is an answer that says that discovery has more calls than it can take.
 type errBusy struct {
 	status int
@@ -302,7 +306,9 @@
 		s.broken, s.busy = 0, 0
 	}
 	var busy errBusy
-	if errors.As(err, &busy) {
+	// One that gives no answer either has more calls than it can take, where that may be: what is given up and asked again at once
+	// keeps it from answering any.
+	if errors.As(err, &busy) || s.jams && s.span > toldWithin && errors.Is(err, errUnanswered) {
 		span := max(s.span, busyLeast)
 		most := span << min(s.busy, busyDoubles)
 		s.busy++
@@ -455,7 +461,7 @@
 	}
 	res, err := http.ReadResponse(bufio.NewReaderSize(conn, headMost), nil)
 	if err != nil {
-		return fmt.Errorf("the answer's head: %w", err)
+		return fmt.Errorf("%w: %w", errUnanswered, err)
 	}
 	// The body is left open: closing it would read what is left of a watch. It goes with the connection.
 	switch res.StatusCode {
--- a/internal/wire/discovery_test.go
+++ b/internal/wire/discovery_test.go
@@ -480,6 +480,26 @@
 	}
 }
 
+// Discovery that carries so many calls a second and no more is kept from answering any by calls that are given up and made again at
+// once: in a fleet that is too large for its time they are spread as refused ones. An agent of our own has no such bound.
+func TestUnansweredCallsOfALargeFleetAreSpread(t *testing.T) {
+	lost := fmt.Errorf("%w: timeout", errUnanswered)
+	for _, c := range []struct {
+		name   string
+		fleet  int
+		from   patience
+		spread bool
+	}{{"few that ask", 9, asked, false}, {"many that ask", 80, asked, true}, {"many with agents", 300, pushed, false}} {
+		s := spread{span: time.Duration(c.fleet) * callTime, patience: c.from, random: func() float64 { return 0 }}
+		for i := range 5 {
+			wait := s.after(false, lost)
+			if c.spread && wait < s.span/4 || !c.spread && wait > c.from.retry {
+				t.Errorf("%s: %v after call %d, of a spread of %v: %v", c.name, wait, i, s.span, c.spread)
+			}
+		}
+	}
+}
+
 // A whole list that stops in the middle is given up in the time of a call, however its lines stand.
 func TestAListThatStopsInTheMiddleIsGivenUp(t *testing.T) {
 	s := newStore(t, 0)
