--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -67,6 +67,32 @@
 	}
 }
 
+// What a configuration does not tell takes no figure of another deployment's: it is the narrowest that there is, or nothing.
+func TestWhatIsMissingIsTheNarrowest(t *testing.T) {
+	p, err := Flatten([]byte(`{"classes":[{"name":"c","deadline":5}],"weight_kind":"off"}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := Decode(p, NewNames())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := s.Classes[0]
+	if c.Effect != rules.Unsafe || c.Group != rules.GroupCell || c.Window != 0 {
+		t.Errorf("a class may be repeated more than never: %+v", c)
+	}
+	if s.MaxAttempts != 1 || s.SecondCopies || s.CanCancel || s.CanTell || s.RetryAfter || s.Sized || s.TellsStart || s.DrainGrace != 0 {
+		t.Errorf("more is allowed than was told: %+v", s)
+	}
+	want := rules.Settings{ // every figure that stands in for a missing one
+		Classes: s.Classes, OverShareWorth: 1, Zone: -1, GroupSize: 1, Tick: rules.Millisecond, MaxAttempts: 1, AskWithin: 10 * rules.Second,
+		ColdFrom: 1, FallMultiple: 1,
+	}
+	if !reflect.DeepEqual(s, want) {
+		t.Errorf("decoded %+v, want %+v", s, want)
+	}
+}
+
 func TestDecodeNamesEveryFault(t *testing.T) {
 	p, err := Flatten([]byte(`{"tick":"soon","classes":[{"effect":"odd"}],"policy_limits":{"peers":3}}`))
 	if err != nil {
--- a/internal/store/counters.go
+++ b/internal/store/counters.go
@@ -13,6 +13,7 @@
 	Taken                   atomic.Int64 // requests that reached the module
 	Served, Refused, Failed atomic.Int64 // final answers that the module decided on
 	Gone                    atomic.Int64 // clients that went first
+	GoneEarly               atomic.Int64 // ... before we came to read their request: it was not taken
 	BadRequests             atomic.Int64 // answered 4xx: the sum of the next
 	BadHeads                atomic.Int64 // ... headers that are missing or make no sense
 	BadFraming              atomic.Int64 // ... lengths given in two ways, or shorter than what came
@@ -72,7 +73,7 @@
 func (c *Counters) Fields() logrus.Fields {
 	f := logrus.Fields{}
 	for name, v := range map[string]*atomic.Int64{
-		"taken": &c.Taken, "served": &c.Served, "refused": &c.Refused, "failed": &c.Failed, "gone": &c.Gone,
+		"taken": &c.Taken, "served": &c.Served, "refused": &c.Refused, "failed": &c.Failed, "gone": &c.Gone, "gone_early": &c.GoneEarly,
 		"bad_requests": &c.BadRequests, "turned_away": &c.TurnedAway, "overdue": &c.Overdue, "warnings": &c.Warnings,
 		"bad_heads": &c.BadHeads, "bad_framing": &c.BadFraming, "bad_sizes": &c.BadSizes, "bad_bodies": &c.BadBodies,
 		"bad_classes": &c.BadClasses, "bad_methods": &c.BadMethods, "bad_ids": &c.BadIDs, "rejected": &c.Rejected, "unreadable": &c.Unreadable,
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -132,7 +132,7 @@
 	job.Left = time.Until(end)
 	switch {
 	case c.client.gone():
-		f.Store.Counters.Gone.Add(1)
+		f.Store.Counters.GoneEarly.Add(1)
 		leave()
 	case f.Clients.Over():
 		f.turnDown(w, r, errNoPlace)
