--- a/internal/wire/endings_test.go
+++ b/internal/wire/endings_test.go
@@ -116,28 +116,14 @@
 	until(t, "it counts as gone", func() bool { return g.store.Counters.Gone.Load() == 1 })
 }
 
-// goneClient is the front's side of a connection on which the client has sent something and left, and nobody has read either.
+// goneClient is the front's side of a connection whose client has left, and nobody has read that.
 func goneClient(t *testing.T) *clientConn {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	near, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	far, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { far.Close() })
-	c := (&Clients{Counters: new(store.Counters)}).add(far)
+	c, far := joined(t, &Clients{Counters: new(store.Counters)})
 	if c.gone() {
 		t.Fatal("a client that is there counts as gone")
 	}
-	near.Close()
+	far.Close()
 	until(t, "its leaving is here", c.gone)
 	return c
 }
