--- /dev/null
+++ b/deploy/sites/play.sh
@@ -0,0 +1,28 @@
+#!/usr/bin/env bash
+# Lays beside the sites here what a bench needs of the operators' kit, and plays one of them on it:
+#
+#   deploy/sites/play.sh KIT BENCH SITE [ARGUMENT...]
+#   deploy/sites/play.sh ../given/kit/more/mass/other ../given/kit/more/mass/bin/lbreal night-post score --panel brink --seed 1 --why "..."
+#
+# KIT is a folder with wire.json and unlock.txt; both stay out of the repository. SITE is a name here, without .toml. The sites' own
+# real.json has the names of their machines.
+set -euo pipefail
+here=$(cd "$(dirname "$0")" && pwd)
+if [ $# -lt 4 ]; then
+	sed -n '2,8s/^# \{0,1\}//p' "$0" >&2
+	exit 1
+fi
+kit=$1 bench=$2 site=$here/$3.toml
+shift 3
+missing=0
+for f in "$kit/wire.json" "$kit/unlock.txt" "$bench" "$site"; do
+	[ -f "$f" ] || { echo "$f: there is no such file" >&2; missing=1; }
+done
+[ $missing = 0 ] || exit 1
+install -m 644 "$kit/wire.json" "$kit/unlock.txt" "$here/"
+bench=$(cd "$(dirname "$bench")" && pwd)/$(basename "$bench")
+cd "$here/../.."
+case $1 in
+score) shift; exec "$bench" score "$site" "$@" ;;
+*) exec "$bench" "$site" "$@" ;;
+esac
