--- a/internal/testbed/fakes/fleet.go
+++ b/internal/testbed/fakes/fleet.go
@@ -43,7 +43,7 @@
 		},
 	}
 	for i, w := range day.Workers {
-		f.Workers = append(f.Workers, NewWorker(cfg, w.Name, i, specOf(w, terms)))
+		f.Workers = append(f.Workers, NewWorker(cfg, w.Name, i, specOf(w, day.Scenario)))
 	}
 	var err error
 	f.Discovery, err = NewDiscovery(l, day.Scenario.Dispatchers, list.Keep, list.Lag, list.Jitter, scenario.Rand(day.Seed, scenario.StreamLag))
@@ -72,7 +72,8 @@
 }
 
 // specOf returns what a worker of a day can do.
-func specOf(w scenario.Worker, terms *scenario.Terms) Spec {
+func specOf(w scenario.Worker, s *scenario.Scenario) Spec {
+	terms := &s.Terms
 	return Spec{
 		Kind:               w.Kind,
 		Cores:              w.Cores,
@@ -84,9 +85,23 @@
 		OverloadMultiple:   terms.OverloadMultiple,
 		OverloadWindow:     terms.OverloadWindow,
 		Progress:           terms.Progress,
+		MeanWork:           meanWork(s.Classes),
 	}
 }
 
+// meanWork returns the mean work of a request, in seconds on a core of speed 1.
+func meanWork(classes []scenario.Class) float64 {
+	work, shares := 0.0, 0.0
+	for _, c := range classes {
+		work += c.Share * c.Work.Seconds()
+		shares += c.Share
+	}
+	if shares == 0 {
+		return 0
+	}
+	return work / shares
+}
+
 // publish sends a worker's status to discovery.
 func (f *Fleet) publish(i int, status Status, warmingUp, immediate bool) {
 	w, d := f.Workers[i], f.day.Workers[i]
--- a/internal/testbed/fakes/machine.go
+++ b/internal/testbed/fakes/machine.go
@@ -17,6 +17,7 @@
 	SlowStartWindow    time.Duration
 	OverloadMultiple   float64       // of its capacity: while warming up it crashes when it is sent more ...
 	OverloadWindow     time.Duration // ... for as long as this
+	MeanWork           float64       // of all jobs, in seconds on a core of speed 1; 0: calls are not counted
 	Progress           time.Duration // between progress events of a running job; 0: none
 }
 
@@ -272,6 +273,11 @@
 		return JobEvent{}, false
 	}
 	m.recentlySent = slices.DeleteFunc(m.recentlySent, func(s sentWork) bool { return s.at < m.now-m.spec.OverloadWindow })
+	if calls, budget := m.callsAndBudget(factor); m.spec.MeanWork > 0 && calls > budget {
+		m.crashed = true
+		work := m.spec.MeanWork
+		return JobEvent{Kind: Overloaded, Sent: calls * work, Allowed: budget * work, SlowStartFactor: factor}, true
+	}
 	sent, allowed := m.sentAndAllowed(factor)
 	if sent <= allowed {
 		m.overloaded = false
@@ -287,6 +293,21 @@
 	return JobEvent{Kind: Overloaded, Sent: sent, Allowed: allowed, SlowStartFactor: factor}, true
 }
 
+// fewCalls is the number of calls under which the platform's terms leave more to chance.
+const fewCalls = 30
+
+// callsAndBudget returns the calls within the overload window and how many the platform's terms allow: as many of mean work as
+// the stated multiple of the capacity can do, and what chance may add.
+func (m *Machine) callsAndBudget(slowStartFactor float64) (calls, budget float64) {
+	capacity := float64(m.spec.Cores) * m.spec.Speed * slowStartFactor * m.spec.OverloadWindow.Seconds()
+	n := m.spec.OverloadMultiple * capacity / m.spec.MeanWork
+	chance := 2.0
+	if n < fewCalls {
+		chance = 3
+	}
+	return float64(len(m.recentlySent)), n + chance*(math.Sqrt(n)+1)
+}
+
 // sentAndAllowed returns the work sent within the overload window and what the machine can take in that time, in seconds on a
 // core of speed 1: the stated multiple of its capacity, and one job of mean size for each core, since what goes straight into
 // a free core is no overload.
--- /dev/null
+++ b/internal/testbed/warming_test.go
@@ -0,0 +1,101 @@
+package testbed
+
+import (
+	"testing"
+	"time"
+
+	"birchfork/internal/testbed/invariant"
+	"birchfork/internal/testbed/scenario"
+)
+
+// Incident 6b9c04: in a rolling replacement with 177 and with 191 dispatchers, a worker that had started 7.7 s and 7.2 s before was
+// sent more than its budget and failed. All dispatchers had had it on their lists for 5 s, so it was neither a late list nor a worker
+// taken for warm. Each dispatcher sent warming workers a share of what arrived, presuming that no more arrives than the fleet can run:
+// a burst was passed on to them. Proof: this day breaks the rule with the burst, with or without restarts, client retries and their
+// marks, at ages of 6 to 10 s, and keeps it without the burst.
+func TestRun_WarmingWorkersKeepBudgetInBurst(t *testing.T) {
+	r, err := Run(t.Context(), Options{Scenario: burstOnReplacements(t), Seed: 1, Policy: PolicyRules, Launch: launchTest(PolicyRules)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range r.Violations {
+		t.Errorf("%s at %v: %v", v.Rule, v.At, v.Lines)
+	}
+	if r.Broken() || r.Rules[invariant.SlowStart] > 0 {
+		t.Errorf("rules %v, crashes %v", r.Rules, r.CrashNotes)
+	}
+	if want := len(burstOnReplacements(t).Generate(1, false).Requests); r.Requests != want || r.Served < want/2 {
+		t.Errorf("%d of %d requests, %d served", r.Requests, want, r.Served)
+	}
+}
+
+// burstOnReplacements returns the scenario of the incident.
+func burstOnReplacements(t *testing.T) *scenario.Scenario {
+	t.Helper()
+	s, err := scenario.Decode("burst-on-replacements", []byte(`
+name = "burst-on-replacements"
+about = "Workers are replaced, dispatchers restarted and reloaded, and a burst comes on the replacements."
+for = "15s"
+rate = 135.0
+dispatchers = 60
+zones = ["one"]
+
+[terms]
+cold_from = 0.12
+warm_within = "24s"
+
+[list]
+lag = "300ms"
+jitter = "200ms"
+
+[clients]
+retries = 3
+retry_wait = "100ms"
+mark = false
+
+[[class]]
+name = "search"
+effect = "safe"
+share = 1
+work = "200ms"
+spread = 0.35
+aim = "400ms"
+stretch = 2.0
+patience = "5s"
+late_worth = 0.3
+
+[[workers]]
+kind = "a"
+count = 18
+cores = 2
+speed = [1.0, 1.0]
+
+[[fault]]
+kind = "worker-kill"
+at = "1s"
+for = "1s"
+workers = 3
+
+[[fault]]
+kind = "dispatcher-term"
+at = "3s"
+dispatchers = [0, 1, 2]
+
+[[fault]]
+kind = "dispatcher-hup"
+at = "5s"
+
+[[fault]]
+kind = "jump"
+at = "7s"
+for = "6s"
+factor = 2.6
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.For != 15*time.Second {
+		t.Fatalf("the day takes %v", s.For)
+	}
+	return s
+}
