Take a start's age from two clocks, and log changes of workers while they warm up

Cause: the age of a start came from the wall clock alone. A step forward made a cold worker warm, a step back kept it cold for as long. Change: the age is the lower one by the wall clock and by the process's clock, never below 0, and 0 where a followed list first shows a worker at an age over 10 s; each start is converted once. Counter sent_warming, line "endpoints changed" with state, age and attempts while warming up. Measured: the tests of internal/engine pass; TestStartTime_SteppedClock has seven cases. Golden files of counters have one name more.

--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -49,6 +49,10 @@
 		attempt.workerStartedAtMillis = worker.endpoint.StartedAtMillis
 		attempt.workerGeneration = worker.generation
 		worker.inFlight++
+		if worker.isWarmingUp(now, r.engine.slowStartWindow) {
+			worker.sentToWarming++
+			r.engine.Counters.SentToWarming.Add(1)
+		}
 	}
 	ctx, cancel := context.WithCancelCause(context.Background())
 	attempt.cancel = cancel
--- a/internal/engine/counters.go
+++ b/internal/engine/counters.go
@@ -37,6 +37,7 @@
 	// Attempts.
 	AttemptsSent   atomic.Int64                             // ordered by the decision module
 	Outcomes       [dispatch.ResultUnknown + 1]atomic.Int64 // by dispatch.Result
+	SentToWarming  atomic.Int64                             // of these, to workers that are warming up
 	BadWorkerLines atomic.Int64                             // lines from workers that could not be parsed
 
 	// Connections.
@@ -120,6 +121,7 @@
 		"rejected":     &c.RejectedByWorkers,
 
 		"sent":             &c.AttemptsSent,
+		"sent_warming":     &c.SentToWarming,
 		"bad_runner_lines": &c.BadWorkerLines,
 
 		"dials":         &c.Dials,
--- a/internal/engine/endpoints.go
+++ b/internal/engine/endpoints.go
@@ -54,6 +54,7 @@
 	defer e.mu.Unlock()
 	e.revision++
 	e.listVersion = list.Version
+	e.following = e.synced
 	e.synced = e.synced || !list.Stale
 	e.Counters.EndpointUpdates.Add(1)
 	event := dispatch.Event{Kind: dispatch.EndpointUpdate, Version: e.revision, Stale: list.Stale}
@@ -78,6 +79,7 @@
 		e.applyRestrictions() // a worker may have moved to a restricted host
 	}
 	e.updateLeaseExclusions() // before the decision module learns of a worker that it must not use yet
+	e.logChanges()
 	e.handle(e.now(), &event)
 }
 
@@ -89,10 +91,14 @@
 		}
 		worker := &e.workers[id]
 		wasReady := worker.ready()
-		if worker.endpoint.State != dispatch.Gone {
+		wasListed := worker.endpoint.State != dispatch.Gone
+		if wasListed {
 			worker.goneAt = e.now()
 		}
 		worker.endpoint.State = dispatch.Gone
+		if wasListed && e.following {
+			e.noteChange(worker)
+		}
 		if wasReady {
 			e.onEndpointRetired(RetiredEndpoint{worker.endpoint.Address})
 		}
@@ -106,11 +112,13 @@
 	moved := old.Address != endpoint.Address
 	restarted := old.StartedAtMillis != endpoint.StartedAtMillis
 	leaving := worker.ready() && endpoint.State != dispatch.Ready
+	changed := moved || restarted || old.State != endpoint.State
 	if old.Address != "" && (moved || restarted || leaving) {
 		e.onEndpointRetired(RetiredEndpoint{old.Address})
 	}
 	if restarted {
-		worker.startedAt = e.startTime(endpoint.StartedAtMillis)
+		worker.startedAt = e.startTime(worker, endpoint.StartedAtMillis)
+		worker.sentToWarming = 0
 	}
 	if endpoint.State == dispatch.Gone && old.State != dispatch.Gone {
 		worker.goneAt = e.now()
@@ -124,19 +132,10 @@
 	}
 	worker.latestStartMillis = max(worker.latestStartMillis, endpoint.StartedAtMillis) // a worker may be listed as gone without its start
 	worker.endpoint = *endpoint
-	return worker.startedAt
-}
-
-// startTime converts a listed start, Unix time in milliseconds, to the decision module's clock; 0 stays 0. It must be called only once for
-// each start: a further reading of the wall clock would give another time, which the decision module would take for a restart. The caller
-// must hold the lock.
-func (e *Engine) startTime(startedAtMillis int64) dispatch.Time {
-	if startedAtMillis <= 0 {
-		return 0
+	if changed && e.following {
+		e.noteChange(worker)
 	}
-	now := time.Now()
-	age := dispatch.Time(now.UnixMicro() - startedAtMillis*1000)
-	return max(e.at(now)-age, 0)
+	return worker.startedAt
 }
 
 // Endpoints returns the complete endpoint list and its revision: while the revision is the same, so is the list.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -78,11 +78,15 @@
 	workers           []workerState // by id
 	listVersion       uint64        // discovery's version of the list
 	revision          uint64        // number of updates of the list: its version for the decision module
-	synced            bool          // a list has been received from discovery since the process started
-	watchingSince     time.Time     // when the watch on discovery came up; zero: it is down
+	changes           endpointChanges
+	following         bool      // the update that is applied is not the first from discovery since the process started
+	synced            bool      // a list has been received from discovery since the process started
+	watchingSince     time.Time // when the watch on discovery came up; zero: it is down
 	onEndpointRetired func(RetiredEndpoint)
 	onOutlier         func(worker string) // nil: not set
 
+	slowStartWindow dispatch.Time // of the settings
+
 	// Stalls of the process: see heartbeat.go.
 	lastHeartbeat time.Time // zero: there was no heartbeat, and stalls are not detected
 	pausedUntil   time.Time // nothing is sent before this time: a stall has just ended
@@ -115,6 +119,7 @@
 		names:             options.Names,
 		maxOpen:           options.MaxOpen,
 		maxAttempts:       options.Settings.MaxAttempts,
+		slowStartWindow:   options.Settings.SlowStartWindow,
 		onEndpointRetired: func(RetiredEndpoint) {},
 	}
 	engine.epoch = dispatch.Time(engine.origin.UnixMicro())
@@ -143,6 +148,7 @@
 	event.OldClasses, event.OldTenants = e.names.Adopt(change.Names, &newSettings)
 	e.maxAttempts = newSettings.MaxAttempts
 	e.maxOpen = change.MaxOpen
+	e.slowStartWindow = newSettings.SlowStartWindow
 	if change.Routes != nil {
 		e.setLimits(change.Routes, change.Limits, newSettings.Classes)
 	}
--- a/internal/engine/golden_test.go
+++ b/internal/engine/golden_test.go
@@ -58,6 +58,7 @@
 	} {
 		set(&c.Outcomes[result])
 	}
+	set(&c.SentToWarming)
 	checkAllSet(t, reflect.ValueOf(&c).Elem(), "Counters")
 	fields := c.Fields()
 	if want := int(next - 100); len(fields) != want {
--- /dev/null
+++ b/internal/engine/starttime_test.go
@@ -0,0 +1,55 @@
+package engine
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"birchfork/dispatch"
+)
+
+// A stepped wall clock neither makes a new worker warm nor keeps it cold for as long as the step. The step is played by moving the
+// clock of the process, which then differs from the wall clock as after a step the other way.
+func TestStartTime_SteppedClock(t *testing.T) {
+	const age = 2 * dispatch.Second
+	for _, c := range []struct {
+		name          string
+		step          dispatch.Time // of the process's clock against the wall clock
+		listedAhead   time.Duration // the listed start is that much later
+		following     bool
+		least, utmost dispatch.Time // age
+	}{
+		{"no step", 0, 0, true, age, age},
+		{"process ahead by an hour", 3600 * dispatch.Second, 0, true, age, age},
+		{"wall clock ahead by an hour", -3600 * dispatch.Second, 0, true, 0, 0},
+		{"wall clock ahead by a second", -dispatch.Second, 0, true, age - dispatch.Second, age - dispatch.Second},
+		{"start in the future", 0, time.Hour, true, 0, 0},
+		{"both ahead since before the start of the process", 0, -time.Hour, true, 0, 0},
+		{"old worker on the first list", 0, -time.Hour, false, 3602 * dispatch.Second, 3602 * dispatch.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				decider := &scriptedDecider{}
+				engine := newEngine(t, decider)
+				if c.following {
+					engine.UpdateEndpoints(EndpointList{Snapshot: true})
+				}
+				engine.epoch += c.step
+				started := time.Now().Add(c.listedAhead - 2*time.Second).UnixMilli()
+				engine.UpdateEndpoints(listWith(dispatch.Ready, "127.0.0.1:1", started))
+				time.Sleep(time.Second)
+				engine.UpdateEndpoints(listWith(dispatch.Draining, "127.0.0.1:1", started))
+				engine.UpdateEndpoints(listWith(dispatch.Gone, "127.0.0.1:1", 0))
+				engine.UpdateEndpoints(listWith(dispatch.Ready, "127.0.0.1:1", started))
+				events := decider.eventsOf(dispatch.EndpointUpdate)
+				got := decider.times[len(decider.times)-4] - events[0].Workers[0].StartedAt
+				if got < c.least || got > c.utmost+2*dispatch.Millisecond {
+					t.Errorf("a worker started 2 s ago counts as started %v us ago, want %v to %v", got, c.least, c.utmost)
+				}
+				if first, last := events[0].Workers[0].StartedAt, events[len(events)-1].Workers[0].StartedAt; first != last {
+					t.Errorf("the same start is %v and then %v", first, last)
+				}
+			})
+		})
+	}
+}
--- a/internal/engine/worker.go
+++ b/internal/engine/worker.go
@@ -11,8 +11,11 @@
 type workerState struct {
 	endpoint          Endpoint      // as listed last
 	startedAt         dispatch.Time // the listed start, on the decision module's clock; 0: long ago
+	convertedMillis   int64         // the start that was converted last ...
+	convertedStart    dispatch.Time // ... and what it was converted to
 	latestStartMillis int64         // the latest start that was listed, Unix time in milliseconds
 	goneAt            dispatch.Time // when it left the list
+	sentToWarming     int64         // attempts since its start, while it was warming up
 
 	exclusions exclusion     // why nothing is sent there, whatever the endpoint list says
 	generation int           // exclusions so far, but for a missing lease; attempts ordered before the last one are not sent
@@ -34,6 +37,12 @@
 // usable reports whether the endpoint list and all exclusions allow sending to the worker.
 func (w *workerState) usable() bool { return w.ready() && w.exclusions == 0 }
 
+// isWarmingUp reports whether the worker has started or was included again less than warmUp ago.
+func (w *workerState) isWarmingUp(now, warmUp dispatch.Time) bool {
+	servingSince := max(w.startedAt, w.includedAt)
+	return servingSince > 0 && now-servingSince < warmUp
+}
+
 // mayRun reports whether a request of this dispatcher runs at the worker, or may run there.
 func (w *workerState) mayRun(now time.Time) bool { return w.inFlight > 0 || now.Before(w.mayRunUntil) }
 
@@ -85,7 +94,6 @@
 		if endpoint.Name == "" || gone && now-worker.goneAt > microseconds(goneFor) {
 			continue
 		}
-		servingSince := max(worker.startedAt, worker.includedAt)
 		statuses = append(statuses, WorkerStatus{
 			Name:        endpoint.Name,
 			Zone:        endpoint.Zone,
@@ -94,7 +102,7 @@
 			Weight:      endpoint.Weight,
 			Unavailable: endpoint.State != dispatch.Ready,
 			Gone:        gone,
-			WarmingUp:   servingSince > 0 && now-servingSince < microseconds(warmUp),
+			WarmingUp:   worker.isWarmingUp(now, microseconds(warmUp)),
 			Disabled:    worker.exclusions&excludedByOperator != 0,
 		})
 	}
