Send warming workers a share of what others complete, not of what arrives

Cause: each dispatcher sent a warming worker a fixed share of the arrivals, presuming that no more arrive than the fleet can run and that a sample is won two times in three. A burst was passed on to it. Change: the chance of a sample follows what this dispatcher's requests have completed lately at warmed-up workers, per arrival and by capacity weight; wins are measured and count as certain until then; each send is checked against the dispatcher's part of the budget; only the first samples of an arrival count. Two tests of sendToWarming now let a warm worker complete a request first, as that pays; their bounds are as they were.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -9,6 +9,11 @@
 	d.retryBudget = min(maxRetryBudget, d.retryBudget+retryBudgetRatio)
 	d.meanWork += (d.expectedWork(r) - d.meanWork) * slowEWMAWeight
 	r.sampled = isRetry // retries get no worker that is warming up: a burst of them would overload it
+	if !isRetry {
+		d.arrived.add(d.now, d.settings.OverloadWindow)
+		r.mayJoinWarming = true // by its first samples only: each arrival is counted once
+		defer d.endFirstSamples(r)
+	}
 	quotaWeight := 1.0
 	if d.overQuota(r, isRetry) {
 		r.band, quotaWeight = bandOverQuota, d.settings.OverQuotaWeight
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -34,6 +34,9 @@
 	meanListedWeight     float64   // of the ready ones
 	warmingUntil         Time      // when the last of the ready ones has warmed up
 	ejectedCount         int       // of the ready ones
+	warmCapacity         float64   // capacity weight of the ready ones that have warmed up ...
+	readyCapacity        float64   // ... and of all ready ones ...
+	referencesUntil      Time      // ... until when both are used
 	ring                 []ringPoint
 	ringAdditions        []*worker // workers whose points are not on the ring yet
 
@@ -45,13 +48,17 @@
 	timerAt      Time   // when the caller's timer is due; never: it is not set
 	serial       uint64 // the last number given to a queue ticket or a timer
 
-	slotsInUse   float64 // of this dispatcher's attempts in flight at all workers
-	meanCapacity float64 // of workers, as of the ends of attempts
-	meanWork     float64 // of the requests that arrived, in microseconds
-	failureRate  float64 // of attempts at all workers
-	retryBudget  float64 // retries that may be made now
-	shedding     float64 // strength of load shedding, 0 (none) to 1 ...
-	sheddingAt   Time    // ... as of this time
+	completed recentCount // requests that warmed-up workers have completed
+	arrived   recentCount // first tries of clients
+	// The part of the samples of warming workers that was sent there, minSampleWinRate at least.
+	sampleWinRate float64
+	slotsInUse    float64 // of this dispatcher's attempts in flight at all workers
+	meanCapacity  float64 // of workers, as of the ends of attempts
+	meanWork      float64 // of the requests that arrived, in microseconds
+	failureRate   float64 // of attempts at all workers
+	retryBudget   float64 // retries that may be made now
+	shedding      float64 // strength of load shedding, 0 (none) to 1 ...
+	sheddingAt    Time    // ... as of this time
 
 	usageByTag map[uint64]aggregatedUsage // by tag of the workers whose aggregator this dispatcher is
 
@@ -66,18 +73,19 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	d := &Dispatcher{
-		settings:     s,
-		rng:          rand.New(rand.NewPCG(seed, 1)),
-		workersByTag: map[uint64]*worker{},
-		usageByTag:   map[uint64]aggregatedUsage{},
-		kinds:        make([]kindState, s.KindCount+1),
-		zones:        make([]zoneState, s.ZoneCount+1),
-		fleet:        newKindState(),
-		timerAt:      never,
-		nextPollAt:   never,
-		pollBackoff:  initialPollBackoff,
-		retryBudget:  maxRetryBudget,
-		meanCapacity: initialCapacity,
+		settings:      s,
+		rng:           rand.New(rand.NewPCG(seed, 1)),
+		workersByTag:  map[uint64]*worker{},
+		usageByTag:    map[uint64]aggregatedUsage{},
+		kinds:         make([]kindState, s.KindCount+1),
+		zones:         make([]zoneState, s.ZoneCount+1),
+		fleet:         newKindState(),
+		timerAt:       never,
+		nextPollAt:    never,
+		pollBackoff:   initialPollBackoff,
+		retryBudget:   maxRetryBudget,
+		meanCapacity:  initialCapacity,
+		sampleWinRate: 1,
 	}
 	for i := range d.kinds {
 		d.kinds[i] = newKindState()
--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -24,10 +24,11 @@
 //
 // The decisions: send.go (attempts and final answers), admission.go, queueing.go, placement.go (candidates
 // and the choice among them), affinity.go (consistent hashing of keys), capacity.go (learned concurrency
-// limits), estimate.go (run times), slowstart.go, retry.go, hedging.go (hedged requests, migration,
-// cancelling), outlier.go, shedding.go (load shedding and quotas), outcome.go (what is learned from an
-// attempt), endpoints.go and peers.go (load shared between dispatchers).
+// limits), estimate.go (run times), slowstart.go, slowstartbudget.go (what a worker that is warming up is
+// sent), retry.go, hedging.go (hedged requests, migration, cancelling), outlier.go, shedding.go (load
+// shedding and quotas), outcome.go (what is learned from an attempt), endpoints.go and peers.go (load shared
+// between dispatchers).
 //
 // The state: dispatcher.go, reconfigure.go, validate.go, request.go, worker.go, fleet.go, messages.go,
-// queue.go, timers.go and ring.go.
+// queue.go, recentcount.go, timers.go and ring.go.
 package dispatch
--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -68,6 +68,7 @@
 	w.readmittedAt = d.now
 	w.capacity, w.capacityReducedAt = d.meanCapacity, d.now
 	w.failureRate, w.outcomeCount, w.ejected = 0, 0, false
+	w.warmingSends = recentCount{}
 	w.markResponsive()
 }
 
@@ -92,6 +93,7 @@
 		}
 	}
 	d.meanListedWeight /= float64(max(1, len(d.ready)))
+	d.referencesUntil = d.now
 	for _, w := range d.ready {
 		if w.readmittedAt == d.now { // by this event, before the mean size was known
 			w.capacity = d.meanCapacity * d.relativeSize(w)
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -63,6 +63,7 @@
 		d.recordOutcome(w, 0)
 		w.markResponsive()
 		d.recordRunTime(r, a)
+		d.recordCompletion(w)
 		if wasAtCapacity && !a.queueDetected {
 			w.growCapacity(r.slots)
 		}
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -50,11 +50,9 @@
 	if w := d.dueFirstRequest(); w != nil && inZone && isFirstRound && r.class.WorkerKind < 0 {
 		return w
 	}
-	workers, zoneShare := d.ready, 1.0
+	workers := d.ready
 	if d.staysInZone(r, inZone) {
 		workers = d.readyInZone
-		// Where the zone has few ready workers, one that is warming up would be sampled too often.
-		zoneShare = min(1, float64(len(d.readyInZone)*d.settings.ZoneCount)/float64(len(d.ready)))
 	}
 	for i := range min(maxScan, len(workers)) {
 		w := d.sampleWorker(r, workers)
@@ -65,7 +63,7 @@
 			continue
 		case isWarmingUp && i > 0: // nor does it get the samples of workers passed over
 			continue
-		case isWarmingUp && !(isFirstRound && d.rng.Float64() < zoneShare*d.slowStartChance(w)):
+		case isWarmingUp && !(r.mayJoinWarming && d.rng.Float64() < d.slowStartChance(w, len(workers))):
 			return nil // no further sample: that would raise the others' chance
 		}
 		zone.nextProbeAt = d.now + minProbeInterval
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -55,6 +55,7 @@
 	queuedAt        Time
 	candidates      []*worker // in whose queues it has an entry, in the order in which they were sampled
 	firstCandidates bool      // they are the first that were sampled for it
+	mayJoinWarming  bool      // samples of workers that are warming up may count
 	sampled         bool      // candidates have been sampled for it before
 	samplingRound   int       // since it was queued
 	nextSamplingAt  Time
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -41,6 +41,9 @@
 	if len(d.awaitingFirstRequest) > 0 {
 		d.clearFirstRequest(w)
 	}
+	if d.isWarmingUp(w) {
+		w.warmingSends.add(d.now, d.settings.OverloadWindow)
+	}
 	w.slotsInUse += r.slots
 	d.slotsInUse += r.slots
 	timeout := r.limits.AttemptTimeout
--- a/dispatch/slowstart.go
+++ b/dispatch/slowstart.go
@@ -1,15 +1,8 @@
 package dispatch
 
-import (
-	"math"
-	"slices"
-)
+import "slices"
 
 const (
-	// slowStartSampleFactor is how often a worker that is warming up is sampled for each request that it
-	// gets: other candidates get the rest.
-	slowStartSampleFactor = 1.5
-
 	// unknownRelativeSize is the size relative to the mean that a worker may have if its size is unknown.
 	unknownRelativeSize = 0.5
 
@@ -34,20 +27,14 @@
 func (d *Dispatcher) isWarmingUp(w *worker) bool { return d.slowStartFactor(w) < 1 }
 
 // slowStartAllows enforces rule four: a worker that is warming up gets a request only as one of the first
-// candidates that were sampled for it (see slowStartChance), and after its start has become known.
+// candidates that were sampled for it (see slowStartChance), after its start has become known, and within
+// this dispatcher's part of the worker's budget.
 func (d *Dispatcher) slowStartAllows(r *request, w *worker) bool {
-	return !d.isWarmingUp(w) || r.firstCandidates && r.queuedAt >= w.readmittedAt && r.isCandidate(w)
-}
-
-// slowStartChance returns the probability that a sample of a worker that is warming up counts. At full load a
-// worker is a candidate of as many requests as it can run once warmed up; so few of these samples count that
-// hardly any window brings an overload. All workers are sampled alike, whatever their capacity, so samples of
-// a worker with less count less often.
-func (d *Dispatcher) slowStartChance(w *worker) float64 {
-	fullLoad := w.kind.size * float64(d.settings.OverloadWindow) / (d.meanWork * d.slowdownOf(w))
-	root := max(0, math.Sqrt(d.settings.OverloadMultiple*d.slowStartFactor(w)*fullLoad+1)-1)
-	relativeRate := slowStartSampleFactor * d.minRelativeSize(w) * d.fleet.slowdown / d.slowdownOf(w)
-	return min(1, relativeRate*root*root/fullLoad)
+	if !d.isWarmingUp(w) {
+		return true
+	}
+	wasSampled := r.firstCandidates && r.queuedAt >= w.readmittedAt && r.isCandidate(w)
+	return wasSampled && d.hasSlowStartBudget(w)
 }
 
 // sendToWarming sends a request that would be rejected to a worker that is warming up, if one is sampled and
--- a/dispatch/slowstart_test.go
+++ b/dispatch/slowstart_test.go
@@ -165,6 +165,7 @@
 	toWarming, rejected := 0, 0
 	for i := range 200 {
 		h.dispatcher.shedding, h.dispatcher.sheddingAt = 1, h.now
+		h.dispatcher.recordCompletion(h.worker(7)) // of a request that was sent before
 		retry := i%2 == 1
 		actions := h.handle(Event{Kind: RequestArrived, Request: RequestID(i), Tenant: -1, ExpectedWork: 20 * ms, TimeLeft: 5 * Second, Slots: 1, Retry: retry})
 		if len(actions) != 1 {
@@ -196,6 +197,7 @@
 		h.handle(Event{Kind: EndpointSnapshot, Workers: list, Version: 1})
 		for i := range 200 {
 			h.dispatcher.queuedSlots[bandNormal], h.dispatcher.slotsInUse, h.dispatcher.queues[bandNormal] = 1e6, 1, queue{} // a longer backlog than can be waited for
+			h.dispatcher.recordCompletion(h.worker(3))                                                                       // of a request that was sent before
 			old := &request{queueTicket: 1, queuedAt: h.now - 9*Second}
 			h.dispatcher.queues[bandNormal].push(old)
 			for _, a := range h.handle(Event{Kind: RequestArrived, Request: RequestID(i), Tenant: -1, ExpectedWork: 20 * ms, TimeLeft: left, Slots: 1}) {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -39,6 +39,8 @@
 	nextProbeAt   Time // of a worker that is ejected or unresponsive
 	probeInterval Time
 
+	warmingSends recentCount // requests sent while it was warming up
+
 	onRing bool // has points on the consistent-hash ring, or will have
 }
 
@@ -59,6 +61,9 @@
 	queueWait          float64 // mean delay of a start, in mean run times
 	connectFailureRate float64 // recent
 	nextProbeAt        Time    // of a zone that cannot be reached
+
+	warmCapacity float64     // capacity weight of its ready workers that have warmed up
+	completed    recentCount // requests that these have completed
 }
 
 // initialStartDelay is assumed as a zone's startDelay until one is known.
