Test that wins are assumed until measured, and that idle others don't starve new workers

Cause: two guards of the slow-start budget could be taken out with no test failing. Change: a test for each. Measured: each new test passes, and fails without its guard.

--- a/dispatch/slowstart_test.go
+++ b/dispatch/slowstart_test.go
@@ -248,3 +248,54 @@
 		t.Errorf("%d of 300 requests went to a warming worker, one of ten, as eight others give no sign", n)
 	}
 }
+
+// Samples of warming workers count as won until measured: no more than slowStartShare of the budget then, and at most one and a half
+// times that after many lost ones.
+func TestSlowStartChance_RaisedByLostSamplesOnly(t *testing.T) {
+	s := testSettings()
+	s.WeightsShowSize = true
+	h := newHarness(t, s)
+	list := fleet(10)
+	list[0].StartedAt = h.now
+	h.handle(Event{Kind: EndpointSnapshot, Workers: list, Version: 1})
+	d, warming := h.dispatcher, h.worker(0)
+	chance := func() float64 {
+		d.completed, d.zones[0].completed, d.arrived = recentCount{}, recentCount{}, recentCount{}
+		for range 20 {
+			d.arrived.add(d.now, d.settings.OverloadWindow)
+			d.recordCompletion(h.worker(5))
+		}
+		return d.slowStartChance(warming, len(d.ready))
+	}
+	want := slowStartShare * d.settings.OverloadMultiple * d.slowStartFactor(warming) / 9 * 10 / initialCandidates
+	if got := chance(); got < 0.99*want || got > 1.01*want {
+		t.Errorf("a sample counts with probability %.4f before any is measured, want %.4f", got, want)
+	}
+	for range 100 {
+		d.recordSampleOutcome(&request{candidates: []*worker{warming}})
+	}
+	if got := chance(); got < 1.49*want || got > 1.51*want {
+		t.Errorf("a sample counts with probability %.4f after many lost ones, want %.4f", got, 1.5*want)
+	}
+}
+
+// New workers are used though the warmed-up ones are listed as ready and complete nothing.
+func TestSlowStart_UsedWhereOthersCompleteNothing(t *testing.T) {
+	h := newHarness(t, testSettings())
+	list := fleet(4)
+	list[0].StartedAt, list[1].StartedAt = h.now-15*Second, h.now-15*Second
+	h.handle(Event{Kind: EndpointSnapshot, Workers: list, Version: 1})
+	toWarming := 0
+	for i := range 400 {
+		actions := h.handle(Event{Kind: RequestArrived, Request: RequestID(i), Tenant: -1, ExpectedWork: 20 * ms, TimeLeft: 5 * Second, Slots: 1})
+		for _, w := range sendTargets(append(actions, h.wait(10*ms)...)) {
+			if w < 2 {
+				toWarming++
+				h.startAndEnd(RequestID(i), 0)
+			}
+		}
+	}
+	if toWarming < 5 {
+		t.Errorf("%d of 400 requests went to two warming workers while the others completed nothing", toWarming)
+	}
+}
