--- a/internal/testbed/warming_test.go
+++ b/internal/testbed/warming_test.go
@@ -11,8 +11,8 @@
 // Incident 6b9c04: in a rolling replacement with 177 and with 191 dispatchers, a worker that had started 7.7 s and 7.2 s before was
 // sent more than its budget and failed. All dispatchers had had it on their lists for 5 s, so it was neither a late list nor a worker
 // taken for warm. Each dispatcher sent warming workers a share of what arrived, presuming that no more arrives than the fleet can run:
-// a burst was passed on to them. Proof: this day breaks the rule with the burst, with or without restarts, client retries and their
-// marks, at ages of 6 to 10 s, and keeps it without the burst.
+// a burst was passed on to them. Proof: this day breaks the rule with the burst, with one restart or three, with or without client
+// retries and their marks, at ages of 6 to 10 s, and keeps it without the burst.
 func TestRun_WarmingWorkersKeepBudgetInBurst(t *testing.T) {
 	r, err := Run(t.Context(), Options{Scenario: burstOnReplacements(t), Seed: 1, Policy: PolicyRules, Launch: launchTest(PolicyRules)})
 	if err != nil {
