--- a/review/2/main.go
+++ b/review/2/main.go
@@ -34,11 +34,7 @@
 
 func main() {
 	record := rig.NewRecord(os.Args[1])
-	tmp, err := os.MkdirTemp("", "review-2-")
-	if err != nil {
-		rig.CannotRun("%v", err)
-	}
-	defer os.RemoveAll(tmp)
+	tmp := rig.TempFolder()
 
 	s := &state{answers: map[int]int{}}
 	zones := []string{"sala-nord", "sala-centro", "sala-sud"}
@@ -74,13 +70,12 @@
 	}
 	open.Wait()
 	crashed := d.Ended()
-	rig.KillAll()
+	rig.End()
 
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	record.Say("answers by status (0: no whole answer): %v; answers that never end: %d; peak of memory: %.1f MB of %d MB; killed for memory: %v; "+
 		"the dispatcher ended before the case did: %v", s.answers, s.spoilt, float64(s.peakKB)/1024, memoryMB, s.killed, crashed)
-	os.RemoveAll(tmp)
 	if crashed {
 		os.Exit(rig.RuleBroken)
 	}
--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,8 @@
+#!/bin/sh
+# Exit 1: the rule was broken. 0: it held. 2: the case could not run. TROUBLE=0: without the disruption.
+here=$(cd "$(dirname "$0")" && pwd)
+REVIEW_ROOT=$(cd "$here/../.." && pwd)
+export REVIEW_ROOT
+program=$REVIEW_ROOT/review/bin/3
+[ -x "$program" ] || { echo "run review/build.sh first" >&2; exit 2; }
+exec timeout -k 5 115 "$program" "$here"
--- a/review/rig/record.go
+++ b/review/rig/record.go
@@ -5,8 +5,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -17,12 +19,18 @@
 	start time.Time
 }
 
-// NewRecord creates record.txt in a folder.
+// NewRecord creates record.txt in a folder. From then on SIGTERM and SIGINT end the case and the processes that it started.
 func NewRecord(folder string) *Record {
 	file, err := os.Create(filepath.Join(folder, "record.txt"))
 	if err != nil {
 		CannotRun("record.txt: %v", err)
 	}
+	ending := make(chan os.Signal, 1)
+	signal.Notify(ending, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-ending
+		CannotRun("ended from outside")
+	}()
 	return &Record{file: file, start: time.Now()}
 }
 
@@ -47,7 +55,27 @@
 	NotRun     = 2
 )
 
-// CannotRun ends the case because it could not run. Processes that were started are killed.
+var tempFolder string
+
+// TempFolder creates the folder of a case's files. End removes it.
+func TempFolder() string {
+	folder, err := os.MkdirTemp("", "birchfork-review-")
+	if err != nil {
+		CannotRun("%v", err)
+	}
+	tempFolder = folder
+	return folder
+}
+
+// End ends all processes that were started, and removes the folder of TempFolder.
+func End() {
+	KillAll()
+	if tempFolder != "" {
+		os.RemoveAll(tempFolder)
+	}
+}
+
+// CannotRun ends the case because it could not run.
 func CannotRun(format string, args ...any) {
 	fmt.Fprintf(os.Stderr, "cannot run: "+format+"\n", args...)
 	KillAll()
