--- a/review/2/main.go
+++ b/review/2/main.go
@@ -19,8 +19,8 @@
 	rate        = 50               // jobs a second
 	workers     = 9
 	spoiltShare = 0.15      // of the answers: after the report of the start comes a line that never ends
-	spoiltRate  = 200 << 10 // bytes a second of such a line
-	memoryMB    = 32        // limits.memory_mb
+	spoiltBytes = 900 << 10 // of such a line in its first second; then 9 KB each second
+	memoryMB    = 64        // limits.memory_mb
 )
 
 // state is what the case has counted.
@@ -87,7 +87,7 @@
 		s.mu.Lock()
 		s.spoilt++
 		s.mu.Unlock()
-		j.Endless(spoiltRate)
+		j.Endless(spoiltBytes)
 		return
 	}
 	j.Run(200 * time.Millisecond)
