Review, case 2: during an upgrade a copy of an open id makes a ticket run twice

Cause: the ids that are open are known to one process; during an upgrade two serve, and the pages count both as one dispatcher.

--- a/review/2/main.go
+++ b/review/2/main.go
@@ -1,12 +1,11 @@
-// Case 2: some answers of workers never end, and the dispatcher keeps what comes of them in memory.
+// Case 2: a bad client sends the ids of other clients' open requests while a dispatcher is upgraded.
 package main
 
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -15,107 +14,146 @@
 )
 
 const (
-	length      = 30 * time.Second // of the traffic
-	rate        = 50               // jobs a second
-	workers     = 9
-	spoiltShare = 0.15      // of the answers: after the report of the start comes a line that never ends
-	spoiltBytes = 900 << 10 // of such a line in its first second; then 9 KB each second
-	memoryMB    = 64        // limits.memory_mb
+	workers  = 9
+	rate     = 20                    // jobs a second of the usual client
+	length   = 20 * time.Second      // of the traffic
+	upgrade  = 5 * time.Second       // the platform starts the new process
+	badPause = 50 * time.Millisecond // between two requests of the bad client
+	jobTime  = 800 * time.Millisecond
+	killWait = 3700 * time.Millisecond // after SIGTERM: the longest deadline, 3 s at most, and 0.7 s
 )
 
-// state is what the case has counted.
-type state struct {
-	mu      sync.Mutex
-	spoilt  int
-	peakKB  int
-	killed  bool
-	answers map[int]int
+// open has the usual client's requests that have no answer yet.
+type open struct {
+	mu  sync.Mutex
+	ids map[string]bool
+}
+
+func (o *open) set(id string, isOpen bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if isOpen {
+		o.ids[id] = true
+	} else {
+		delete(o.ids, id)
+	}
+}
+
+// any returns the id of an open request; "" if there is none.
+func (o *open) any() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for id := range o.ids {
+		return id
+	}
+	return ""
 }
 
 func main() {
 	record := rig.NewRecord(os.Args[1])
 	tmp := rig.TempFolder()
-
-	s := &state{answers: map[int]int{}}
+	var mu sync.Mutex
+	runs := map[string][]string{} // workers that began to run a ticket, by id
 	zones := []string{"sala-nord", "sala-centro", "sala-sud"}
 	list := rig.List{Index: 41, Snapshot: true}
 	for i := range workers {
-		w := rig.NewWorker(record, fmt.Sprintf("s-%d", i), s.handle)
+		w := rig.NewWorker(record, fmt.Sprintf("s-%d", i), func(j *rig.Job) {
+			mu.Lock()
+			runs[j.ID] = append(runs[j.ID], j.Worker.Name)
+			mu.Unlock()
+			j.Run(jobTime)
+		})
 		list.Endpoints = append(list.Endpoints, w.Endpoint(zones[i%len(zones)]))
 	}
 	agent := rig.NewAgent("a", record, list)
-	d := rig.StartDispatcher(record, tmp, rig.Config{
-		Name: "n1", Listen: rig.FreeAddress(), Discovery: agent.Addr(), Seed: fmt.Sprintf("%016x", time.Now().UnixNano()),
-		Limits: map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": 1024}, Known: list,
+	config := rig.Config{
+		Name: "n1", Listen: rig.FreeAddress(), Discovery: agent.Addr(), Operator: rig.FreeAddress(),
+		Seed:   fmt.Sprintf("%016x", time.Now().UnixNano()),
+		Limits: map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, Known: list,
 		Settings: rig.Settings(rig.Valdora(), nil),
-	})
-	d.WaitUp()
-	go s.watchMemory(record, d)
+	}
+	old := rig.StartDispatcher(record, tmp, config)
+	old.WaitUp()
 
-	client := rig.NewClient(record, d.Config.Listen)
-	var open sync.WaitGroup
 	begin := time.Now()
-	for i := 0; time.Since(begin) < length && !d.Ended(); i++ {
-		class, deadline := "journey-search", 10*time.Second
-		if i%2 == 0 {
-			class, deadline = "ticket-issue", 5*time.Second
+	var plan sync.WaitGroup
+	if rig.Trouble() {
+		plan.Go(func() {
+			time.Sleep(time.Until(begin.Add(upgrade)))
+			next := config
+			next.Operator = rig.FreeAddress()
+			rig.StartDispatcher(record, tmp, next)
+			waitReady(next.Operator)
+			record.Printf("platform: the new process is ready, SIGTERM to the old one")
+			old.Signal(syscall.SIGTERM)
+			time.Sleep(killWait)
+			old.Signal(syscall.SIGKILL)
+		})
+	}
+
+	usual := rig.NewClient(record, config.Listen)
+	requests := &open{ids: map[string]bool{}}
+	usualAnswers, badAnswers := map[int]int{}, map[int]int{}
+	var clients sync.WaitGroup
+	clients.Go(func() {
+		for time.Since(begin) < length {
+			time.Sleep(badPause)
+			id := requests.any()
+			if id == "" {
+				continue
+			}
+			clients.Go(func() {
+				record.Printf("bad client: sends the id %s of an open request", id)
+				a := rig.NewClient(record, config.Listen).Do(id, "ticket-issue", 5*time.Second)
+				mu.Lock()
+				badAnswers[a.Status]++
+				mu.Unlock()
+			})
 		}
-		open.Go(func() {
-			a := client.Do(fmt.Sprintf("%08x%08x", i, rand.Uint32()), class, deadline)
-			s.mu.Lock()
-			s.answers[a.Status]++
-			s.mu.Unlock()
+	})
+	for i := 0; time.Since(begin) < length; i++ {
+		clients.Go(func() {
+			id := fmt.Sprintf("%08x%08x", i, rand.Uint32())
+			time.AfterFunc(50*time.Millisecond, func() { requests.set(id, true) })
+			a := usual.Do(id, "ticket-issue", 5*time.Second)
+			requests.set(id, false)
+			mu.Lock()
+			usualAnswers[a.Status]++
+			mu.Unlock()
 		})
 		time.Sleep(time.Duration(rand.ExpFloat64() * float64(time.Second) / rate))
 	}
-	open.Wait()
-	crashed := d.Ended()
+	clients.Wait()
+	plan.Wait()
 	rig.End()
 
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	record.Say("answers by status (0: no whole answer): %v; answers that never end: %d; peak of memory: %.1f MB of %d MB; killed for memory: %v; "+
-		"the dispatcher ended before the case did: %v", s.answers, s.spoilt, float64(s.peakKB)/1024, memoryMB, s.killed, crashed)
-	if crashed {
-		os.Exit(rig.RuleBroken)
+	mu.Lock()
+	defer mu.Unlock()
+	twice := 0
+	for id, at := range runs {
+		if len(at) > 1 {
+			twice++
+			record.Say("BROKEN: ticket-issue %s ran at %v", id, at)
+		}
 	}
-}
-
-// handle handles a job at a worker.
-func (s *state) handle(j *rig.Job) {
-	if rig.Trouble() && rand.Float64() < spoiltShare {
-		s.mu.Lock()
-		s.spoilt++
-		s.mu.Unlock()
-		j.Endless(spoiltBytes)
-		return
+	record.Say("usual client's answers by status: %v; bad client's: %v; tickets that ran: %d, more than once: %d", usualAnswers, badAnswers, len(runs), twice)
+	if twice > 0 {
+		os.Exit(rig.RuleBroken)
 	}
-	j.Run(200 * time.Millisecond)
 }
 
-// watchMemory is the platform: it kills a dispatcher that is over its limit. Only memory of the process's own counts (RssAnon), not the pages
-// of its program.
-func (s *state) watchMemory(record *rig.Record, d *rig.Dispatcher) {
-	for !d.Ended() {
-		raw, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", d.Pid()))
-		for line := range strings.Lines(string(raw)) {
-			if !strings.HasPrefix(line, "RssAnon:") {
-				continue
-			}
-			kb, _ := strconv.Atoi(strings.Fields(line)[1])
-			s.mu.Lock()
-			if kb > s.peakKB {
-				s.peakKB = kb
-				record.Printf("platform: the dispatcher has %d KB of memory", kb)
-			}
-			over := kb > memoryMB<<10 && !s.killed
-			s.killed = s.killed || over
-			s.mu.Unlock()
-			if over {
-				record.Printf("platform: %d KB are over limits.memory_mb = %d: the dispatcher is killed", kb, memoryMB)
-				d.Signal(syscall.SIGKILL)
+// waitReady waits until a process answers the operators' call that it is ready.
+func waitReady(operator string) {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for range 300 {
+		response, err := client.Get("http://" + operator + "/-/ready")
+		if err == nil {
+			response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return
 			}
 		}
-		time.Sleep(10 * time.Millisecond)
+		time.Sleep(20 * time.Millisecond)
 	}
+	rig.CannotRun("the new process is not ready within 6 s")
 }
--- a/review/rig/agent.go
+++ b/review/rig/agent.go
@@ -41,7 +41,6 @@
 	entries  map[string]Endpoint
 	order    []string
 	watchers map[chan struct{}]bool
-	refuse   bool // calls are turned away
 	listener net.Listener
 	conns    map[net.Conn]bool
 }
@@ -114,26 +113,6 @@
 	}
 }
 
-// ResetWatches resets the open connections. Then calls are turned away for a time: discovery is crowded.
-func (a *Agent) ResetWatches(refuseFor time.Duration) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.record.Printf("discovery resets all connections, and turns calls away for %v", refuseFor)
-	a.refuse = true
-	for c := range a.conns {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			tcp.SetLinger(0)
-		}
-		c.Close()
-	}
-	time.AfterFunc(refuseFor, func() {
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		a.refuse = false
-		a.record.Printf("discovery answers calls again")
-	})
-}
-
 // list returns the complete list, or what changed after an index.
 func (a *Agent) list(after int, whole bool) List {
 	a.mu.Lock()
@@ -168,14 +147,6 @@
 		a.record.Printf("agent %s tells %s: %s", a.Name, r.RemoteAddr, describe(l))
 		return err == nil
 	}
-	a.mu.Lock()
-	refuse := a.refuse
-	a.mu.Unlock()
-	if refuse {
-		a.record.Printf("agent %s turns away %s %s", a.Name, r.RemoteAddr, r.URL)
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
 	if r.URL.Query().Get("follow") != "1" {
 		send(a.list(0, true))
 		return
