--- a/review/rig/record.go
+++ b/review/rig/record.go
@@ -78,7 +78,7 @@
 // CannotRun ends the case because it could not run.
 func CannotRun(format string, args ...any) {
 	fmt.Fprintf(os.Stderr, "cannot run: "+format+"\n", args...)
-	KillAll()
+	End()
 	os.Exit(NotRun)
 }
 
