--- a/review/rig-2/rig/runner.go
+++ b/review/rig-2/rig/runner.go
@@ -32,7 +32,7 @@
 	TurnAway func(Job) bool
 	// AfterTurnedAway, if set, is called with the connection after the answer to a job that was turned away.
 	AfterTurnedAway func(net.Conn, []byte)
-	// OnBegin, if set, is called when a job has been read whole.
+	// OnArrive, if set, is called when a job has been read whole.
 	OnArrive func(Job)
 	// OnRun, if set, is called when a job begins to run.
 	OnRun func(Job)
