--- a/review/rig-2/rig/runner.go
+++ b/review/rig-2/rig/runner.go
@@ -28,14 +28,8 @@
 	waiting int
 	queue   int
 
-	// TurnAway, if set, reports whether the runner turns a job away although it has a place.
-	TurnAway func(Job) bool
-	// AfterTurnedAway, if set, is called with the connection after the answer to a job that was turned away.
-	AfterTurnedAway func(net.Conn, []byte)
 	// OnArrive, if set, is called when a job has been read whole.
 	OnArrive func(Job)
-	// OnRun, if set, is called when a job begins to run.
-	OnRun func(Job)
 
 	conns map[net.Conn]bool
 }
@@ -117,21 +111,10 @@
 		r.waiting++
 	}
 	r.mu.Unlock()
-	if !full && r.TurnAway != nil && r.TurnAway(job) {
-		r.mu.Lock()
-		r.waiting--
-		r.mu.Unlock()
-		full = true
-	}
 	if full {
 		r.record.Log("%s: job %s turned away, it has not run", r.Name, job.ID)
-		if _, err := conn.Write(turnedAway); err != nil {
-			return false
-		}
-		if r.AfterTurnedAway != nil {
-			r.AfterTurnedAway(conn, turnedAway)
-		}
-		return true
+		_, err := conn.Write(turnedAway)
+		return err == nil
 	}
 	defer func() {
 		r.mu.Lock()
@@ -155,9 +138,6 @@
 	}
 	defer func() { <-r.slots }()
 	r.record.Log("%s: job %s runs", r.Name, job.ID)
-	if r.OnRun != nil {
-		r.OnRun(job)
-	}
 	chunk(fmt.Sprintf(`{"id":"%s","from":"%s","state":"started"}`, job.ID, r.Name))
 	end := time.After(r.time(job))
 	progress := time.NewTicker(time.Second)
