Review case 8: a process that has heard nothing yet serves by its last list

Cause: after 1 s without a word from discovery's agent a new process counts as ready and uses the list of its configuration, although what the agent has counts as told from its first moment.

--- a/review/rig-2/cases/hidden.go
+++ b/review/rig-2/cases/hidden.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"sync"
@@ -85,17 +86,16 @@
 	} else {
 		io.WriteString(conn, "GET /up HTTP/1.1\r\nHost: app.svc\r\n\r\n")
 	}
-	up := conn.ReadAnswer(time.Now(), time.Second)
-	time.Sleep(50 * time.Millisecond)
+	time.Sleep(100 * time.Millisecond)
 	io.WriteString(conn, body)
-	time.Sleep(50 * time.Millisecond)
+	up := conn.ReadAnswer(time.Now(), time.Second)
 	outer, inner := rig.NewID(), rig.NewID()
 	hidden := rig.Message(inner, "ticket-issue", "bus-provincia", 5*time.Second, "{}")
 	fmt.Fprintf(conn, "POST /ticket-issue HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: %s\r\nX-Class: ticket-issue\r\nX-Tenant: bus-provincia\r\n"+
 		"X-Deadline-Ms: 5000\r\nContent-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n%s", outer, 5+len(hidden), hidden)
 	first := conn.ReadAnswer(time.Now(), time.Second)
-	second := rig.Answer{}
-	if !first.Last {
+	second := rig.Answer{Err: errors.New("the connection has ended")}
+	if !first.Lost() && !first.Last {
 		second = conn.ReadAnswer(time.Now(), time.Second)
 	}
 	r.Say("try %d: /up: %v; the request with two lengths, %s: %v; the one hidden in it, %s: %v", try, up, outer, first, inner, second)
--- a/review/rig-2/rig/discovery.go
+++ b/review/rig-2/rig/discovery.go
@@ -39,6 +39,7 @@
 	changed map[string]uint64 // the index at which an entry changed
 	wake    chan struct{}
 	refuse  bool
+	silence chan struct{} // closed at its end; nil: there is none
 	drop    chan struct{} // closed to end the open watches
 }
 
@@ -89,6 +90,36 @@
 	d.record.Say("discovery: turns calls away: %t", refuse)
 }
 
+// Silence makes calls wait without an answer until its next call with false, and the open watches say nothing.
+func (d *Discovery) Silence(silent bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.record.Say("discovery: is down, and its agent silent: %t", silent)
+	if silent {
+		d.silence = make(chan struct{})
+		return
+	}
+	close(d.silence)
+	d.silence = nil
+}
+
+// awaitSound returns when discovery is not silent. It reports false if the caller has gone.
+func (d *Discovery) awaitSound(caller <-chan struct{}) bool {
+	for {
+		d.mu.Lock()
+		silence := d.silence
+		d.mu.Unlock()
+		if silence == nil {
+			return true
+		}
+		select {
+		case <-silence:
+		case <-caller:
+			return false
+		}
+	}
+}
+
 // DropWatches ends the open watches.
 func (d *Discovery) DropWatches() {
 	d.mu.Lock()
@@ -130,6 +161,10 @@
 
 // ServeHTTP answers one call.
 func (d *Discovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !d.awaitSound(r.Context().Done()) {
+		d.record.Log("discovery: call %s got no answer", r.URL)
+		return
+	}
 	d.mu.Lock()
 	refuse, drop := d.refuse, d.drop
 	d.mu.Unlock()
@@ -150,6 +185,9 @@
 	beat := time.NewTicker(2 * time.Second)
 	defer beat.Stop()
 	send := func(v any) bool {
+		if !d.awaitSound(r.Context().Done()) {
+			return false
+		}
 		line := []byte("\n")
 		if v != nil {
 			line, _ = json.Marshal(v)
