--- a/review/rig-2/cases/etcd.go
+++ b/review/rig-2/cases/etcd.go
@@ -15,12 +15,12 @@
 
 func init() { cases["etcd"] = etcd }
 
-// etcd: the runners' list is in etcd, which the project's agent follows. etcd is down for 31 s. When it is back a runner begins to drain.
+// etcd: the runners' list is in etcd, which the project's agent follows. etcd is down for 30 s. When it is back a runner begins to drain.
 // Nothing new may go to that runner later than 6 s after, and the grace.
 func etcd(r *run) error {
 	const (
 		quiet      = 4 * time.Second
-		down       = 31 * time.Second
+		down       = 30 * time.Second
 		toldWithin = 6 * time.Second
 		grace      = 500*time.Millisecond + 50*time.Millisecond
 		after      = 25 * time.Second
