End the connection after an answer that precedes the request's body

Cause: beginResponse started the head scanner anew although the body of the health check had not arrived. net/http read the body after the handler, the scanner took it for a head with a long body, and did not check what followed.

Change: a response is the last one on its connection unless the scanner has seen the request exactly to its end. All answers pass through beginResponse, so this covers every kind of early answer. A Transfer-Encoding in HTTP/1.0, which net/http ignores, is rejected as an ambiguous length; the scanner records that a line was truncated instead of inferring it from its length.

Usual health checks keep their connections (TestHandler_HealthCheckKeepsConnection).

--- a/internal/frontend/clientconn.go
+++ b/internal/frontend/clientconn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -181,11 +182,21 @@
 }
 
 // ambiguousLength reports whether the request's length was invalid or given in two ways. Another HTTP implementation may use the other
-// length and find a hidden request behind the body (request smuggling).
-func (c *clientConn) ambiguousLength() bool {
+// length and find a hidden request behind the body (request smuggling). This includes a Transfer-Encoding in HTTP/1.0, which net/http ignores.
+func (c *clientConn) ambiguousLength(r *http.Request) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.head.invalidLength || c.head.hasTransferEncoding && c.head.hasLength
+	if c.head.hasTransferEncoding && (c.head.hasLength || !r.ProtoAtLeast(1, 1)) {
+		return true
+	}
+	return c.head.invalidLength
+}
+
+// requestEnded reports whether the request has been scanned exactly to its end, so that the next byte begins another one. The end of a body
+// with a transfer coding is not scanned. The caller must hold the lock.
+func (c *clientConn) requestEnded() bool {
+	isFramed := c.head.done && !c.head.invalidLength && !c.head.hasTransferEncoding
+	return isFramed && c.bodyLeft == 0 && !c.surplus
 }
 
 // completeRequest records that a complete request has arrived. It returns false if the connection was evicted or more than the request has
@@ -202,11 +213,12 @@
 }
 
 // beginResponse records that the response begins, and reports whether it is the last one on the connection: because it is final, or because
-// the start of the next request is unknown, for example after a body with a transfer coding.
+// the request has not been scanned to its end, for example if its body has not arrived. What arrives afterwards is scanned as the next
+// request, so that a rest of this one would be taken for a head.
 func (c *clientConn) beginResponse(final bool) (last bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.noMoreRequests = final || c.surplus || c.head.hasTransferEncoding
+	c.noMoreRequests = final || !c.requestEnded()
 	c.proven = c.proven || c.awaitingResponse
 	c.awaitingResponse = false
 	c.surplusBytes = 0
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -98,7 +98,7 @@
 	counters := &h.Engine.Counters
 	isRead := r.Method == http.MethodGet || r.Method == http.MethodHead
 	switch {
-	case connFromContext(r.Context()).ambiguousLength():
+	case connFromContext(r.Context()).ambiguousLength(r):
 		h.reject(w, r, &requestError{http.StatusBadRequest, "its length is given in two ways", &counters.BadFraming})
 	case r.URL.Path == "/up" && isRead:
 		h.answerHealthCheck(w, r)
--- a/internal/frontend/headscanner.go
+++ b/internal/frontend/headscanner.go
@@ -12,6 +12,7 @@
 // which cannot be relied on for the framing since it silently drops one of two contradicting lengths.
 type headScanner struct {
 	line                []byte // the start of the line that is arriving
+	lineTruncated       bool   // the line that is arriving is longer than what is kept of it
 	sawLine             bool   // a non-empty line has arrived
 	hasLength           bool   // there is a Content-Length
 	length              int64  // value of the Content-Length
@@ -34,6 +35,7 @@
 		scanned += end + 1
 		s.scanLine(bytes.TrimSuffix(s.line, []byte{'\r'}))
 		s.line = s.line[:0]
+		s.lineTruncated = false
 		if s.done {
 			return scanned
 		}
@@ -44,6 +46,7 @@
 func (s *headScanner) appendLine(part []byte) {
 	kept := min(len(part), maxScannedLine-len(s.line))
 	s.line = append(s.line, part[:kept]...)
+	s.lineTruncated = s.lineTruncated || kept < len(part)
 }
 
 func (s *headScanner) scanLine(line []byte) {
@@ -57,15 +60,15 @@
 	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
 		s.hasTransferEncoding = true
 	case bytes.EqualFold(name, []byte("Content-Length")):
-		s.scanLength(value, len(line) == maxScannedLine)
+		s.scanLength(value)
 	}
 }
 
-// scanLength parses the value of a Content-Length. truncated reports that the line may have been longer.
-func (s *headScanner) scanLength(value []byte, truncated bool) {
+// scanLength parses the value of a Content-Length.
+func (s *headScanner) scanLength(value []byte) {
 	length, err := strconv.ParseUint(string(bytes.Trim(value, " \t")), 10, 63)
 	contradicts := s.hasLength && int64(length) != s.length
-	if err != nil || truncated || contradicts {
+	if err != nil || s.lineTruncated || contradicts {
 		s.invalidLength = true
 	}
 	s.hasLength = true
