Keep connections on which part of a request has arrived

Cause: a connection that had had an answer counted as idle although part of the next request had been read. At the end of the process net/http's Shutdown closes such connections too, and drops what it reads afterwards.

A drain keeps the connection; limits close it last, after a whole 503; the end of the process answers 503. Shutdown is replaced by a wait and Close. The time limit of a request on a kept connection begins with its first byte, so that a protected connection is not held for five minutes.

--- a/internal/frontend/clientconn.go
+++ b/internal/frontend/clientconn.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -14,20 +15,6 @@
 	"birchfork/internal/socket"
 )
 
-// evictionClass is the order in which client connections are closed if there are too many, lowest first.
-type evictionClass int
-
-const (
-	evictClosing  evictionClass = iota // its final response has been written
-	evictUnproven                      // has sent no valid request yet, although newConnPeriod is over
-	evictIdle                          // has had a response to a valid request, and awaits none
-	evictNew                           // has just connected
-	evictNever                         // awaits a response, or is being closed already
-)
-
-// newConnPeriod is how long a new connection may take to send something before it counts as unproven.
-const newConnPeriod = 50 * time.Millisecond
-
 // maxSurplusBytes limits the bytes that may arrive after a request that awaits its response. Clients send one request at a time; one
 // that sends more than a further complete request cannot be answered in order.
 const maxSurplusBytes = maxHeaderBytes + maxBodyBytes
@@ -48,7 +35,8 @@
 	releaseOnce sync.Once // of closeNow
 
 	mu               sync.Mutex
-	evicted          bool      // this process is closing the connection; nothing is read any more
+	evicted          bool      // this process is closing the connection; nothing is read or written any more
+	refuseOnClose    bool      // evicted with an unanswered request, which is rejected before the connection is closed
 	since            time.Time // time of the last response, or of the connection's start
 	proven           bool      // a response to a valid request has begun
 	awaitingResponse bool      // a complete request has arrived, and its response has not begun
@@ -56,12 +44,14 @@
 	responding       bool      // the response is being written; what arrives now belongs to the next request
 	responded        bool      // a response has been written
 	noMoreRequests   bool      // no further request is read
+	errorWritten     bool      // net/http has written an error response by itself, after which it closes the connection
 	writeClosed      bool      // the sending direction is closed
 
 	// State of the request that is arriving.
 	head           headScanner
 	headMemory     memory.HeadReservation // until the response begins, since net/http keeps the decoded head
-	requestStarted bool                   // part of the request has arrived
+	requestStarted bool                   // part of the request has arrived, not counting empty lines before it
+	startDeadline  time.Time              // for the rest of that request
 	bodyLeft       int64                  // bytes of the body that have not arrived, according to Content-Length
 	surplus        bool                   // more than the request has arrived
 }
@@ -162,7 +152,7 @@
 		c.surplus = true
 		return nil
 	}
-	c.requestStarted = true
+	c.trackStart(data)
 	if !c.head.done {
 		headBytes := c.head.scan(data)
 		if err := c.headMemory.Add(data[:headBytes]); err != nil {
@@ -181,6 +171,47 @@
 	return nil
 }
 
+// trackStart records the start of a request if data contains it, and limits the time for the rest. net/http does so only from the fourth byte
+// of a further request on. The caller must hold the lock.
+func (c *clientConn) trackStart(data []byte) {
+	if c.requestStarted || len(bytes.TrimLeft(data, "\r\n")) == 0 {
+		return
+	}
+	c.requestStarted = true
+	if !c.responded { // the time has run since the connection's start
+		c.startDeadline = c.since.Add(requestTimeout)
+		return
+	}
+	c.startDeadline = time.Now().Add(requestTimeout)
+	_ = c.Conn.SetReadDeadline(c.startDeadline) // fails only on a closed connection
+}
+
+// SetReadDeadline sets the deadline of reads. While a request arrives it is not later than that request's own; net/http removes the deadline
+// once a request is complete.
+func (c *clientConn) SetReadDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	isReceiving := c.requestStarted && !c.noMoreRequests && !c.startDeadline.IsZero()
+	isLater := deadline.After(c.startDeadline) || deadline.IsZero() && !c.head.done
+	if isReceiving && isLater {
+		deadline = c.startDeadline
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// Write writes to the connection, unless it has been evicted: the client may have got another response then.
+func (c *clientConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	if c.evicted {
+		c.mu.Unlock()
+		return 0, net.ErrClosed
+	}
+	isInterim := bytes.HasPrefix(p, []byte("HTTP/1.1 100 "))
+	c.errorWritten = c.errorWritten || !c.responding && !isInterim
+	c.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
 // ambiguousLength reports whether the request's length was invalid or given in two ways. Another HTTP implementation may use the other
 // length and find a hidden request behind the body (request smuggling). This includes a Transfer-Encoding in HTTP/1.0, which net/http ignores.
 func (c *clientConn) ambiguousLength(r *http.Request) bool {
@@ -224,6 +255,7 @@
 	c.surplusBytes = 0
 	c.responding = true
 	c.requestStarted = false
+	c.startDeadline = time.Time{}
 	c.bodyLeft = 0
 	c.head = headScanner{line: c.head.line[:0]}
 	c.headMemory.Release()
@@ -239,59 +271,6 @@
 	c.since = time.Now()
 }
 
-// evictionClass returns the connection's eviction class, and the time since which it has been silent.
-func (c *clientConn) evictionClass(now time.Time) (class evictionClass, since time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch {
-	case c.mustKeep():
-		return evictNever, c.since
-	case c.noMoreRequests:
-		return evictClosing, c.since
-	case c.isNew(now):
-		return evictNew, c.since
-	case !c.proven:
-		return evictUnproven, c.since
-	}
-	return evictIdle, c.since
-}
-
-// evict marks the connection as being closed by this process, and reports whether it did. It does not if a response is awaited or being
-// written, if the connection is evicted already or, unless includeUnread is set, if an unread request may have arrived.
-func (c *clientConn) evict(includeUnread bool) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.mustKeep() {
-		return false
-	}
-	mayHaveRequest := !c.noMoreRequests && !c.requestStarted
-	if !includeUnread && mayHaveRequest && c.hasUnread() {
-		return false
-	}
-	c.evicted = true
-	return true
-}
-
-// pending reports whether a response is awaited or being written, a request has begun to arrive, or the connection is new, so that one may
-// arrive at any moment.
-func (c *clientConn) pending() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.awaitingResponse || c.responding {
-		return true
-	}
-	if c.evicted || c.noMoreRequests {
-		return false
-	}
-	return c.requestStarted || c.hasUnread() || c.isNew(time.Now())
-}
-
-// mustKeep reports whether a response is awaited or being written, or the connection is evicted already. The caller must hold the lock.
-func (c *clientConn) mustKeep() bool { return c.awaitingResponse || c.responding || c.evicted }
-
-// isNew reports whether the client may not have had time to send its first request. The caller must hold the lock.
-func (c *clientConn) isNew(now time.Time) bool { return !c.proven && now.Sub(c.since) < newConnPeriod }
-
 // hasUnread reports whether unread bytes have arrived. The caller must hold the lock.
 func (c *clientConn) hasUnread() bool {
 	if c.rawConn == nil {
--- a/internal/frontend/conntracker.go
+++ b/internal/frontend/conntracker.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -16,7 +19,8 @@
 const closePollInterval = time.Millisecond
 
 // ConnTracker owns the client connections and limits their number. Connections are always accepted, since one that waits in the kernel
-// takes up resources as well: if there are too many, one that awaits no response is closed. It is safe for concurrent use; after the first
+// takes up resources as well: if there are too many, one that awaits no response is closed. If part of a request has arrived on it,
+// that request is rejected first. It is safe for concurrent use; after the first
 // connection the limits must be changed only by SetLimits.
 type ConnTracker struct {
 	SoftLimit int // number of connections up to which requests are accepted and idle connections are kept
@@ -25,6 +29,8 @@
 
 	HeadBudget *memory.Budget // for heads over memory.HeadAllowance; nil: no limit
 
+	retryAfter atomic.Int64 // nanoseconds: the Retry-After of requests that are rejected with their connection; 0: none
+
 	mu    sync.Mutex
 	conns map[*clientConn]bool
 }
@@ -103,7 +109,7 @@
 		if candidate == nil {
 			break
 		}
-		if candidate.evict(includeUnread) {
+		if candidate.evictForLimit(includeUnread) {
 			delete(t.conns, candidate)
 			evicted = append(evicted, candidate)
 			continue
@@ -140,25 +146,31 @@
 	return best
 }
 
-// CloseIdle closes the connections that are idle after a response.
+// CloseIdle closes the connections that are idle after a response. Those on which part of a request has arrived are not idle.
 func (t *ConnTracker) CloseIdle() {
-	for _, conn := range t.evictIdle() {
-		_ = conn.closeNow()
+	now := time.Now()
+	t.closeWhere(func(conn *clientConn) bool { return conn.evictIdle(now) })
+}
+
+// RejectUnfinished rejects the requests that have begun to arrive, and closes their connections.
+func (t *ConnTracker) RejectUnfinished() {
+	t.closeWhere((*clientConn).evictUnfinished)
+}
+
+// closeWhere closes the connections that evict evicts, each at once: bytes that arrive between the two are not answered.
+func (t *ConnTracker) closeWhere(evict func(*clientConn) bool) {
+	for _, conn := range t.all() {
+		if evict(conn) {
+			_ = conn.closeNow()
+		}
 	}
 }
 
-func (t *ConnTracker) evictIdle() (idle []*clientConn) {
+// all returns all connections.
+func (t *ConnTracker) all() []*clientConn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := time.Now()
-	for conn := range t.conns {
-		class, _ := conn.evictionClass(now)
-		if class == evictIdle && conn.evict(false) {
-			delete(t.conns, conn)
-			idle = append(idle, conn)
-		}
-	}
-	return idle
+	return slices.Collect(maps.Keys(t.conns))
 }
 
 // OverLimit reports whether the number of connections exceeds the soft limit, over which requests are rejected.
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -48,6 +48,7 @@
 func (h *Handler) SetRetryAfter(delay, maxDelay time.Duration) {
 	h.retryAfter.Store(int64(min(delay, maxDelay)))
 	h.maxRetryAfter.Store(int64(maxDelay))
+	h.Conns.retryAfter.Store(h.retryAfter.Load())
 }
 
 // HTTPServer returns the handler's HTTP server. Its listener must come from Conns.WrapListener.
--- a/internal/frontend/lingeringclose.go
+++ b/internal/frontend/lingeringclose.go
@@ -48,15 +48,7 @@
 		n, err := socket.PeekFD(fd)
 		return n <= 0 && !errors.Is(err, syscall.EAGAIN)
 	})
-	_ = c.rawConn.Control(func(fd uintptr) {
-		var discard [discardBytes]byte
-		for range maxSurplusBytes / len(discard) {
-			n, err := syscall.Read(int(fd), discard[:])
-			if n <= 0 && !errors.Is(err, syscall.EINTR) {
-				return
-			}
-		}
-	})
+	_ = c.rawConn.Control(func(fd uintptr) { discardArrived(int(fd)) })
 }
 
 // CloseWrite closes the sending direction. net/http calls it on a connection whose client is still sending, and waits before it closes the
@@ -94,9 +86,10 @@
 	c.headMemory.Release()
 }
 
-// closeNow closes the connection immediately, and removes it from the tracker.
+// closeNow closes the connection immediately, and removes it from the tracker. A request with which it was evicted is rejected before.
 func (c *clientConn) closeNow() (err error) {
 	c.releaseOnce.Do(func() {
+		c.refuse()
 		c.endReads()
 		err = c.Conn.Close()
 		c.releaseHead()
--- a/internal/frontend/response.go
+++ b/internal/frontend/response.go
@@ -19,6 +19,9 @@
 
 func (e *requestError) Error() string { return e.reason }
 
+// overLimitText is the body of responses to requests that exceed a limit of this process.
+const overLimitText = "no place left\n"
+
 // errOverLimit is returned for a request that exceeds a limit of this process.
 var errOverLimit = errors.New("no place left")
 
@@ -54,7 +57,7 @@
 func (h *Handler) rejectOverLimit(w http.ResponseWriter, r *http.Request) {
 	h.Engine.Counters.RejectedOverLimit.Add(1)
 	setRetryAfter(w, time.Duration(h.retryAfter.Load()))
-	h.writeUncounted(w, r, http.StatusServiceUnavailable, []byte("no place left\n"), true)
+	h.writeUncounted(w, r, http.StatusServiceUnavailable, []byte(overLimitText), true)
 }
 
 // rejectOverRouteLimit keeps the connection open: the client is not at fault, and may retry on it.
@@ -81,13 +84,18 @@
 	h.writeUncounted(w, r, bad.status, []byte(bad.reason+"\n"), true)
 }
 
-// setRetryAfter sets the Retry-After header in seconds, with three decimals. A delay of 0 sets none.
+// setRetryAfter sets the Retry-After header. A delay of 0 sets none.
 func setRetryAfter(w http.ResponseWriter, delay time.Duration) {
 	if delay > 0 {
-		w.Header().Set("Retry-After", strconv.FormatFloat(delay.Seconds(), 'f', 3, 64))
+		w.Header().Set("Retry-After", formatRetryAfter(delay))
 	}
 }
 
+// formatRetryAfter returns the value of a Retry-After header: seconds, with three decimals.
+func formatRetryAfter(delay time.Duration) string {
+	return strconv.FormatFloat(delay.Seconds(), 'f', 3, 64)
+}
+
 // writeFinal writes the response to a request that the engine has accepted, and counts failed writes.
 func (h *Handler) writeFinal(w http.ResponseWriter, r *http.Request, status int, body []byte) {
 	if h.write(w, r, status, body, false) != nil {
--- a/internal/server/drain.go
+++ b/internal/server/drain.go
@@ -25,6 +25,8 @@
 	closeTimeout      = 100 * time.Millisecond // for the last responses to be written
 	leaveGroupTimeout = 100 * time.Millisecond // for an orderly end of the group membership, whose disk may stall
 	drainPollInterval = 5 * time.Millisecond
+
+	finishPollInterval = time.Millisecond
 )
 
 // drainTimeout returns the time after the signal within which every request has to be answered.
@@ -114,13 +116,15 @@
 	return s.engine.OpenRequests() > 0 || s.handler.Conns.Pending() > 0
 }
 
-// finish fails the requests that are still open, closes all connections and releases all resources.
+// finish answers the requests that are still open or partly received, closes all connections and releases all resources. It does not use
+// http.Server.Shutdown, which drops requests whose head arrives meanwhile.
 func (s *Server) finish() error {
 	s.handler.ForceClose()
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	shutdownErr := s.httpServer.Shutdown(ctx)
-	_ = s.httpServer.Close()        // connections without a request; the listener is closed already
+	s.waitFinished(ctx)
+	s.handler.Conns.RejectUnfinished()
+	closeErr := s.httpServer.Close()
 	s.handler.Conns.WaitClosed(ctx) // the end of the process would reset connections with data that a client has not read
 	if s.admin != nil {
 		s.admin.Shutdown(ctx)
@@ -133,12 +137,19 @@
 	if serveErr := <-s.serveErr; !errors.Is(serveErr, http.ErrServerClosed) {
 		return fmt.Errorf("serving: %w", serveErr)
 	}
-	if shutdownErr != nil && !errors.Is(shutdownErr, context.DeadlineExceeded) {
-		return fmt.Errorf("stopping: %w", shutdownErr)
+	if closeErr != nil {
+		return fmt.Errorf("stopping: %w", closeErr)
 	}
 	return nil
 }
 
+// waitFinished returns when no request is unfinished or ctx ends.
+func (s *Server) waitFinished(ctx context.Context) {
+	for ctx.Err() == nil && s.hasUnfinished() {
+		time.Sleep(finishPollInterval)
+	}
+}
+
 // closeGroup ends the membership in the group.
 func (s *Server) closeGroup() {
 	if s.coordinator != nil {
--- a/internal/server/drain_test.go
+++ b/internal/server/drain_test.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"testing"
@@ -98,6 +99,52 @@
 	}
 }
 
+// partialRequest is a request without its body of four bytes.
+const partialRequest = "POST /search HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\nX-Class: search\r\nX-Deadline-Ms: 5000\r\nContent-Length: 4\r\n\r\n"
+
+// Guards against a drain that closes kept connections in the middle of a request: each whose last byte comes before the end is served, and
+// one whose last byte never comes gets a whole response at the end, before the platform kills the process.
+func TestShutdown_AnswersPartialRequestsOnKeptConnections(t *testing.T) {
+	env := newTestEnv(t)
+	srv := env.start(t, "1.5")
+	close(env.release)
+	kept := make([]*clientConn, 8)
+	for i := range kept {
+		kept[i] = dialClient(t, srv)
+		if res := kept[i].exchange(t, fmt.Sprintf(partialRequest, fmt.Sprint("first-", i))+"body"); res.status != 200 || res.closed {
+			t.Fatalf("%+v", res)
+		}
+	}
+	begin := time.Now()
+	stopped := make(chan error, 1)
+	go func() { stopped <- srv.shutdown() }()
+	timeout := max(srv.drainTimeout(), minAcceptTime)
+	firstPiece := srv.acceptTime(timeout) - 150*time.Millisecond
+	time.Sleep(time.Until(begin.Add(firstPiece)))
+	for i, c := range kept { // cut in the head or in the body
+		text := fmt.Sprintf(partialRequest, fmt.Sprint("second-", i))
+		io.WriteString(c, text[:len(text)-4*(i%2)])
+	}
+	for i, c := range kept[:6] {
+		time.Sleep(time.Until(begin.Add(firstPiece + time.Duration(i+1)*100*time.Millisecond)))
+		text := fmt.Sprintf(partialRequest, fmt.Sprint("second-", i))
+		if res := c.exchange(t, text[len(text)-4*(i%2):]+"body"); res.status != 200 {
+			t.Errorf("request %d: %+v, want status 200", i, res)
+		}
+	}
+	for i, c := range kept[6:] {
+		if res := c.exchange(t, ""); res.status != 503 || !res.closed {
+			t.Errorf("unfinished request %d: %+v, want status 503 on a connection that ends", i, res)
+		}
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+	if took, kill := time.Since(begin), timeout+finishMargin; took > kill {
+		t.Errorf("stopped after %v, the platform kills after %v", took, kill)
+	}
+}
+
 // Requests that cannot be finished before the platform kills the process are answered as failed.
 func TestShutdown_FailsOverdueRequests(t *testing.T) {
 	env := newTestEnv(t)
--- a/internal/server/hotrestart_test.go
+++ b/internal/server/hotrestart_test.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"path/filepath"
@@ -110,7 +111,13 @@
 	waitReady(t, old)
 	partial := dialClient(t, old)
 	io.WriteString(partial, "GET /up HTT")
-	waitFor(t, "the request is partly received", func() bool { return old.handler.Conns.Pending() == 1 })
+	kept := dialClient(t, old) // has had a response before
+	if res := kept.exchange(t, fmt.Sprintf(partialRequest, "first")+"body"); res.status != 200 || res.closed {
+		t.Fatalf("%+v", res)
+	}
+	second := fmt.Sprintf(partialRequest, "second")
+	io.WriteString(kept, second[:len(second)-4])
+	waitFor(t, "the requests are partly received", func() bool { return old.handler.Conns.Pending() == 2 })
 	successor := env.startSuccessor(t, old)
 	stopped := make(chan error, 1)
 	go func() { stopped <- old.shutdown() }()
@@ -119,6 +126,9 @@
 	if res := partial.exchange(t, "P/1.1\r\nHost: h\r\n\r\n"); !res.closed {
 		t.Errorf("%+v", res)
 	}
+	if res := kept.exchange(t, second[len(second)-4:]+"body"); res.status != 200 || !res.closed {
+		t.Errorf("on a kept connection: %+v, want 200 on a connection that ends", res)
+	}
 	if err := <-stopped; err != nil {
 		t.Error(err)
 	}
