Forward nothing by the list of the start while discovery is silent

Cause: a process counted as ready after 1 s without a word from discovery, and requests were served by the configuration's list even before.

Beside a sibling, the list of the start no longer replaces the saved one, and a process counts as serving once it is ready.

Tests: harnesses without workers now send an empty list, as no request is opened without one; their checks are as before.

--- a/internal/engine/counters.go
+++ b/internal/engine/counters.go
@@ -17,7 +17,7 @@
 	Shed                   atomic.Int64
 	Failed                 atomic.Int64
 	Overdue                atomic.Int64 // answered without a final decision: their deadline passed or this process was stopping
-	RejectedOverLimit      atomic.Int64 // answered 503 without admission: too many requests or connections
+	RejectedOverLimit      atomic.Int64 // answered 503 without admission: too many requests or connections, or workers not known yet
 	ClientDisconnects      atomic.Int64 // clients that disconnected before the response
 	EarlyClientDisconnects atomic.Int64 // clients that disconnected before their request was read and admitted
 	WriteFailures          atomic.Int64 // responses that could not be written completely
--- a/internal/engine/endpoints.go
+++ b/internal/engine/endpoints.go
@@ -47,11 +47,14 @@
 	return false, e.synced
 }
 
-// UpdateEndpoints applies an update from discovery. Updates must be passed in order. The version that the decision module receives is the
+// UpdateEndpoints applies an update from discovery. Updates must be passed in order. A stale list is ignored once discovery has sent one. The version that the decision module receives is the
 // engine's own count of updates, because discovery's version may restart from a lower number.
 func (e *Engine) UpdateEndpoints(list EndpointList) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if list.Stale && e.synced {
+		return
+	}
 	e.revision++
 	e.listVersion = list.Version
 	e.syncedBefore = e.synced
--- a/internal/engine/golden_http_test.go
+++ b/internal/engine/golden_http_test.go
@@ -110,11 +110,13 @@
 		table, config := limitedRoutes(t)
 		e.SetLimits(table, config, classes)
 	}
+	list := engine.EndpointList{Version: 1, Snapshot: true} // without a list from discovery no request is opened
 	if c.worker != "" {
-		e.UpdateEndpoints(engine.EndpointList{Version: 1, Snapshot: true, Endpoints: []engine.Endpoint{{
+		list.Endpoints = []engine.Endpoint{{
 			Name: "w", Address: startWorker(t, c.worker), Zone: "a", Kind: "big", Cell: -1, State: dispatch.Ready,
-		}}})
+		}}
 	}
+	e.UpdateEndpoints(list)
 	var specs []engine.RequestSpec
 	for i, before := range c.before {
 		for j := range before.admitted {
--- a/internal/frontend/eviction_test.go
+++ b/internal/frontend/eviction_test.go
@@ -72,7 +72,11 @@
 	rejected := 0
 	for _, in := range slow[:10] { // those that began first
 		response, err := http.ReadResponse(in, nil)
-		if err == nil && response.StatusCode == 503 && response.Close && response.Header.Get("Retry-After") == "0.200" {
+		if err != nil {
+			continue
+		}
+		response.Body.Close()
+		if response.StatusCode == 503 && response.Close && response.Header.Get("Retry-After") == "0.200" {
 			rejected++
 		}
 	}
--- a/internal/frontend/fixture_test.go
+++ b/internal/frontend/fixture_test.go
@@ -32,18 +32,27 @@
 	heads  memory.Budget // of the clients
 }
 
-// newHarness starts a harness that stops when the test ends. worker is the worker's address, or empty for none. maxOpen limits the open
-// requests; 0: no limit.
+// newHarness starts a harness that stops when the test ends. worker is the worker's address, or empty for none: discovery has sent a list with
+// it, or an empty one. maxOpen limits the open requests; 0: no limit.
 func newHarness(t testing.TB, worker string, maxOpen int) *harness {
+	t.Helper()
+	h := newSilentHarness(t, maxOpen)
+	list := engine.EndpointList{Snapshot: true}
+	if worker != "" {
+		list = upstreamtest.ListWithWorker(worker)
+	}
+	h.engine.UpdateEndpoints(list)
+	return h
+}
+
+// newSilentHarness is newHarness without a list from discovery.
+func newSilentHarness(t testing.TB, maxOpen int) *harness {
 	t.Helper()
 	h := &harness{engine: enginetest.New(t, maxOpen)}
 	d := net.Dialer{Timeout: 250 * time.Millisecond}
 	h.pool = upstream.NewPool(func(ctx context.Context, a string) (net.Conn, error) { return d.DialContext(ctx, "tcp", a) },
 		&h.engine.Counters, 8, time.Minute)
 	h.engine.OnEndpointRetired(func(w engine.RetiredEndpoint) { h.pool.CloseIdleTo(w.Address) })
-	if worker != "" {
-		h.engine.UpdateEndpoints(upstreamtest.ListWithWorker(worker))
-	}
 	h.heads.SetLimit(8 << 20)
 	clients := &ConnTracker{SoftLimit: 50, Counters: &h.engine.Counters, HeadBudget: &h.heads}
 	h.handler = NewHandler(h.engine, &upstream.Transport{Pool: h.pool, Counters: &h.engine.Counters}, clients)
--- a/internal/frontend/framing_test.go
+++ b/internal/frontend/framing_test.go
@@ -101,19 +101,22 @@
 	h := newHarness(t, "", 0)
 	c := sendRaw(t, h, "")
 	in := bufio.NewReader(c)
-	for _, check := range []string{
-		"GET /up HTTP/1.1\r\nHost: h\r\n\r\n",
-		"HEAD /up HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n",
-		"GET /up HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello",
-		"GET /up HTTP/1.1\nHost: h\n\n",
+	for _, check := range []struct{ method, text string }{
+		{"GET", "GET /up HTTP/1.1\r\nHost: h\r\n\r\n"},
+		{"HEAD", "HEAD /up HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"},
+		{"GET", "GET /up HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello"},
+		{"GET", "GET /up HTTP/1.1\nHost: h\n\n"},
 	} {
-		io.WriteString(c, check)
-		request := &http.Request{Method: strings.TrimSpace(check[:strings.Index(check, " /")])}
-		response, err := http.ReadResponse(in, request)
-		if err != nil || response.Close || response.StatusCode != http.StatusServiceUnavailable {
-			t.Fatalf("%q: response %v, error %v, want 503 on a connection that stays open", check, response, err)
+		io.WriteString(c, check.text)
+		response, err := http.ReadResponse(in, &http.Request{Method: check.method})
+		if err != nil {
+			t.Fatalf("%q: %v", check.text, err)
 		}
 		_, _ = io.Copy(io.Discard, response.Body)
+		response.Body.Close()
+		if response.Close || response.StatusCode != http.StatusServiceUnavailable {
+			t.Fatalf("%q: response %v, want 503 on a connection that stays open", check.text, response)
+		}
 	}
 }
 
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -18,9 +18,9 @@
 )
 
 const (
-	idleTimeout      = 5 * time.Minute      // for a client's next request
-	responseMargin   = 3 * time.Millisecond // subtracted from a client's deadline, which runs from its send, for the response to reach it
-	firstListTimeout = 1 * time.Second      // for discovery's first list; after that the previous list is used
+	idleTimeout      = 5 * time.Minute         // for a client's next request
+	responseMargin   = 3 * time.Millisecond    // subtracted from a client's deadline, which runs from its send, for the response to reach it
+	firstListTimeout = 9500 * time.Millisecond // for discovery's first list; the platform expects a process to be ready 10 s after its start
 )
 
 // Handler serves the requests of clients. It is an http.Handler for connections that its ConnTracker tracks, and is safe for concurrent use.
@@ -34,6 +34,7 @@
 	retryAfter         atomic.Int64 // nanoseconds, see SetRetryAfter
 	maxRetryAfter      atomic.Int64 // nanoseconds, see SetRetryAfter
 	failHealthChecks   atomic.Bool
+	listInherited      atomic.Bool // see InheritEndpoints
 	keepAlivesDisabled atomic.Bool
 	forceClose         chan struct{} // closed by ForceClose
 }
@@ -86,12 +87,32 @@
 	return available && h.Ready()
 }
 
-// Ready reports whether this process can serve requests, provided that a worker is up: FailHealthChecks has not been called, and discovery
-// has sent its list since the start, or firstListTimeout has passed and the previous list is used.
-func (h *Handler) Ready() bool {
+// Ready reports whether this process can serve requests, provided that a worker is up: FailHealthChecks has not been called, and the process
+// knows the workers.
+func (h *Handler) Ready() bool { return h.knowsWorkers() && !h.failHealthChecks.Load() }
+
+// knowsWorkers reports whether requests may be sent by the engine's endpoint list: it is from discovery or from a process that serves. The
+// list with which a process starts may lack a drain of which the dispatcher has been told. It is used only if discovery has been silent for
+// firstListTimeout.
+func (h *Handler) knowsWorkers() bool {
+	_, synced := h.Engine.Ready()
+	return synced || h.listInherited.Load() || h.firstListOverdue()
+}
+
+// firstListOverdue reports whether firstListTimeout is over.
+func (h *Handler) firstListOverdue() bool { return time.Since(h.startedAt) > firstListTimeout }
+
+// ServesByInitialList reports whether discovery has been silent for so long that the list is used with which the process started.
+func (h *Handler) ServesByInitialList() bool {
 	_, synced := h.Engine.Ready()
-	knowsWorkers := synced || time.Since(h.startedAt) > firstListTimeout
-	return knowsWorkers && !h.failHealthChecks.Load()
+	return !synced && !h.listInherited.Load() && h.firstListOverdue()
+}
+
+// InheritEndpoints passes the newest list of another process of this dispatcher to the engine, and makes this process ready by it.
+func (h *Handler) InheritEndpoints(list engine.EndpointList) {
+	list.Stale = true
+	h.Engine.UpdateEndpoints(list)
+	h.listInherited.Store(true)
 }
 
 // ServeHTTP answers one request: a health check, or a request for a worker.
@@ -133,8 +154,8 @@
 		h.Engine.Counters.EarlyClientDisconnects.Add(1)
 		abortConnection()
 	}
-	if h.Conns.OverLimit() {
-		h.reject(w, r, errOverLimit)
+	if err := h.checkCapacity(); err != nil {
+		h.reject(w, r, err)
 		return
 	}
 	request, err := h.Engine.Open(spec)
@@ -149,6 +170,17 @@
 	h.respond(w, r, h.awaitFinalDecision(r.Context(), request, outgoing, overdue.C))
 }
 
+// checkCapacity returns an error if this process cannot accept a request at present.
+func (h *Handler) checkCapacity() error {
+	switch {
+	case h.Conns.OverLimit():
+		return errOverLimit
+	case !h.knowsWorkers():
+		return errNoEndpoints
+	}
+	return nil
+}
+
 // awaitFinalDecision starts the attempts that the engine decides on, each in a goroutine that ends with the attempt, and returns the
 // decision that ends the request.
 func (h *Handler) awaitFinalDecision(ctx context.Context, request *engine.Request, outgoing *outgoingRequest, overdue <-chan time.Time) engine.Decision {
--- a/internal/frontend/handler_test.go
+++ b/internal/frontend/handler_test.go
@@ -112,9 +112,47 @@
 	h.settled(t)
 }
 
+// Guards against a process that serves by the list with which it started, which may lack a drain, although discovery is only silent: it is not
+// up, answers requests with 503 at once and forwards none, until a list arrives or firstListTimeout is over.
+func TestHandler_ForwardsNothingByInitialList(t *testing.T) {
+	w := upstreamtest.StartWorker(t, upstreamtest.RespondDone)
+	initial := upstreamtest.ListWithWorker(w.Address)
+	initial.Stale = true
+	status := func(h *harness, id string) int {
+		got, _, head := doRequest(t, newRequest(t, h.url, "search", id, ""))
+		if retryAfter := head.Get("Retry-After"); got == http.StatusServiceUnavailable && retryAfter != "0.200" {
+			t.Errorf("Retry-After %q, want 0.200", retryAfter)
+		}
+		return got
+	}
+	for name, hear := range map[string]func(*harness){
+		"a list from discovery":    func(h *harness) { h.engine.UpdateEndpoints(upstreamtest.ListWithWorker(w.Address)) },
+		"the list of a sibling":    func(h *harness) { h.handler.InheritEndpoints(initial) },
+		"firstListTimeout is over": func(h *harness) { h.handler.startedAt = h.handler.startedAt.Add(-2 * firstListTimeout) },
+	} {
+		h := newSilentHarness(t, 0)
+		h.handler.SetRetryAfter(200*time.Millisecond, time.Second)
+		h.engine.UpdateEndpoints(initial)
+		sent := w.RequestCount()
+		h.handler.startedAt = time.Now().Add(-8 * time.Second) // discovery may be silent for some seconds
+		for i := range 3 {
+			if got := status(h, "early-"+strconv.Itoa(i)); got != http.StatusServiceUnavailable || h.handler.Up() {
+				t.Errorf("%s: status %d, up %v before it, want 503 and not up", name, got, h.handler.Up())
+			}
+		}
+		if n := w.RequestCount() - sent; n != 0 {
+			t.Errorf("%s: %d requests forwarded before it", name, n)
+		}
+		hear(h)
+		if got := status(h, "late"); got != http.StatusOK || !h.handler.Up() {
+			t.Errorf("%s: status %d, up %v after it, want 200 and up", name, got, h.handler.Up())
+		}
+	}
+}
+
 // The health check passes while a worker is up and the process is not stopping. A stale list counts only after firstListTimeout.
 func TestHandler_Up(t *testing.T) {
-	h := newHarness(t, "", 0)
+	h := newSilentHarness(t, 0)
 	up := func() int {
 		res, err := http.Get(h.url + "/up")
 		if err != nil {
@@ -137,6 +175,9 @@
 		t.Fatal("not up with a stale list after firstListTimeout")
 	}
 	h.handler.startedAt = time.Now()
+	if up() != 503 {
+		t.Fatal("up with a stale list at the start")
+	}
 	h.engine.UpdateEndpoints(upstreamtest.ListWithWorker("127.0.0.1:1"))
 	if up() != 200 {
 		t.Fatal("not up with a current list")
--- a/internal/frontend/lingeringclose.go
+++ b/internal/frontend/lingeringclose.go
@@ -23,7 +23,7 @@
 			err = c.closeNow()
 			return
 		}
-		c.SetReadDeadline(time.Now().Add(lingerTimeout))
+		_ = c.SetReadDeadline(time.Now().Add(lingerTimeout)) // fails only on a closed connection
 		err = c.endWrites()
 		go c.lingeringClose() // ends within lingerTimeout
 	})
--- a/internal/frontend/response.go
+++ b/internal/frontend/response.go
@@ -25,6 +25,9 @@
 // errOverLimit is returned for a request that exceeds a limit of this process.
 var errOverLimit = errors.New("no place left")
 
+// errNoEndpoints is returned for a request that arrives before this process knows the workers.
+var errNoEndpoints = errors.New("the runners are not known yet")
+
 // respond writes the response to a request according to the engine's final decision.
 func (h *Handler) respond(w http.ResponseWriter, r *http.Request, decision engine.Decision) {
 	switch decision.Kind {
@@ -46,6 +49,8 @@
 	switch {
 	case errors.Is(err, errOverLimit), errors.Is(err, engine.ErrTooManyOpen):
 		h.rejectOverLimit(w, r)
+	case errors.Is(err, errNoEndpoints):
+		h.rejectNotReady(w, r)
 	case errors.As(err, &limited):
 		h.rejectOverRouteLimit(w, r, limited)
 	default:
@@ -60,6 +65,13 @@
 	h.writeUncounted(w, r, http.StatusServiceUnavailable, []byte(overLimitText), true)
 }
 
+// rejectNotReady keeps the connection open: the client is not at fault, and may retry on it.
+func (h *Handler) rejectNotReady(w http.ResponseWriter, r *http.Request) {
+	h.Engine.Counters.RejectedOverLimit.Add(1)
+	setRetryAfter(w, time.Duration(h.retryAfter.Load()))
+	h.writeUncounted(w, r, http.StatusServiceUnavailable, []byte(errNoEndpoints.Error()+"\n"), false)
+}
+
 // rejectOverRouteLimit keeps the connection open: the client is not at fault, and may retry on it.
 func (h *Handler) rejectOverRouteLimit(w http.ResponseWriter, r *http.Request, limited *engine.LimitError) {
 	setRetryAfter(w, min(limited.RetryAfter, time.Duration(h.maxRetryAfter.Load())))
--- a/internal/server/admin.go
+++ b/internal/server/admin.go
@@ -35,6 +35,7 @@
 	if !s.handler.Ready() {
 		return fmt.Errorf("%w: it leaves, or does not know the runners yet", admin.ErrUnavailable)
 	}
+	s.markServing() // before the platform ends the old process
 	if s.overrides != nil && !s.overrides.CaughtUp() {
 		return fmt.Errorf("%w: it has not heard yet what staff have told the others", admin.ErrUnavailable)
 	}
--- a/internal/server/drain.go
+++ b/internal/server/drain.go
@@ -42,9 +42,7 @@
 
 // shutdown drains and stops. It returns when all resources are released.
 func (s *Server) shutdown() error {
-	if err := s.process.MarkLeaving(); err != nil {
-		s.log.WithError(err).Error("leaving state not recorded for sibling processes")
-	}
+	s.markLeaving()
 	if s.coordinator != nil {
 		go s.coordinator.TransferLeadership() // takes up to a second; the drain does not wait for it
 	}
--- a/internal/server/fixture_test.go
+++ b/internal/server/fixture_test.go
@@ -119,10 +119,12 @@
 	return log
 }
 
-// start starts a dispatcher without an admin server, whose one class has this deadline in seconds.
+// start starts a dispatcher without an admin server, whose one class has this deadline in seconds, and waits until discovery has sent its list.
 func (e *testEnv) start(t *testing.T, deadline string) *Server {
 	t.Helper()
-	return startWith(t, configText(e.discovery, e.worker, deadline), func(*Config) {})
+	srv := startWith(t, configText(e.discovery, e.worker, deadline), func(*Config) {})
+	waitFor(t, "discovery has sent its list", srv.handler.Ready)
+	return srv
 }
 
 // startWith starts a dispatcher with a decoded configuration, which change may modify.
@@ -209,7 +211,9 @@
 func (e *testEnv) startWithAdmin(t *testing.T) *Server {
 	t.Helper()
 	raw := strings.Replace(configText(e.discovery, e.worker, "5"), `"name":"n1",`, `"name":"n1","operator":"127.0.0.1:0",`, 1)
-	return startWith(t, raw, func(*Config) {})
+	srv := startWith(t, raw, func(*Config) {})
+	waitFor(t, "discovery has sent its list", srv.handler.Ready)
+	return srv
 }
 
 // callAdmin calls the admin server and returns the status and the body.
--- a/internal/server/golden_server_test.go
+++ b/internal/server/golden_server_test.go
@@ -108,6 +108,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	waitFor(t, "discovery has sent its list", srv.handler.Ready)
 	goldentest.Check(t, "counters.txt", fieldNames(t, srv, "counters"))
 	mustShutdown(t, srv)
 }
--- a/internal/server/hotrestart_test.go
+++ b/internal/server/hotrestart_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"path/filepath"
 	"runtime"
@@ -135,6 +136,43 @@
 	mustShutdown(t, successor)
 }
 
+// Guards against a new process that serves by the list of its configuration while discovery is silent: beside a process that serves it uses
+// that one's list, alone it rejects requests.
+func TestHotRestart_SilentDiscovery(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	restoreLimits(t)
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // accepts nothing
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	env := newTestEnv(t)
+	close(env.release)
+	old := env.startWithAdmin(t)
+	waitReady(t, old)
+	outdated := configText(silent.Addr().String(), "127.0.0.1:9", "5") // the worker has moved since
+	begin := time.Now()
+	successor := startWith(t, outdated, configureSuccessor(old))
+	waitReady(t, successor)
+	if took := time.Since(begin); took > 6*time.Second {
+		t.Errorf("ready after %v, the platform wants it within 6 s", took)
+	}
+	mustShutdown(t, old)
+	if a := post(successor, "inherited", "5000"); a.status != 200 {
+		t.Errorf("by the list of the old process: %+v, want 200", a)
+	}
+	mustShutdown(t, successor)
+
+	t.Setenv("TMPDIR", t.TempDir())
+	alone := startWith(t, outdated, func(*Config) {})
+	time.Sleep(inheritDelay + 200*time.Millisecond)
+	begin = time.Now()
+	if a := post(alone, "alone", "5000"); a.status != 503 || time.Since(begin) > time.Second || alone.handler.Up() {
+		t.Errorf("without a list: %+v after %v, up %v, want 503 at once and not up", a, time.Since(begin), alone.handler.Up())
+	}
+	mustShutdown(t, alone)
+}
+
 // A new process that fails to start does not affect the old one and gets no clients.
 func TestHotRestart_FailedSuccessor(t *testing.T) {
 	shared := t.TempDir()
--- a/internal/server/reload_test.go
+++ b/internal/server/reload_test.go
@@ -32,6 +32,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	waitFor(t, "discovery has sent its list", srv.handler.Ready)
 	defer mustShutdown(t, srv)
 	defer close(env.release)
 	renamed := strings.Replace(strings.Replace(good, `"name":"search"`, `"name":"find"`, 1), `"attempts_cap":3`, `"attempts_cap":1`, 1)
@@ -182,6 +183,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	waitFor(t, "discovery has sent its list", srv.handler.Ready)
 	answers := make(chan response, 2)
 	go func() { answers <- post(srv, "first", "5000") }()
 	<-env.received
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -68,6 +68,9 @@
 	groupCounters []func() map[string]int64 // further counters of the group's components, for the log
 
 	process       *hotrestart.Process    // this process among those of the same dispatcher
+	stateMu       sync.Mutex             // guards markedServing and markedLeaving
+	markedServing bool                   // siblings know that this process serves
+	markedLeaving bool                   // siblings know that this process no longer serves
 	siblings      atomic.Int32           // number of other processes alive at the last check
 	newerSibling  atomic.Bool            // one of them started after this process
 	requestIDs    *hotrestart.RequestIDs // of all processes of this dispatcher; nil: not shared
--- a/internal/server/siblings.go
+++ b/internal/server/siblings.go
@@ -37,22 +37,28 @@
 // alive the saved list is up to date; otherwise the list with the higher version is newer and is used.
 func (s *Server) initialEndpoints() engine.EndpointList {
 	known := s.config.KnownEndpoints
+	saved := s.savedEndpoints()
+	outdated := s.siblings.Load() == 0 && saved.Version <= known.Version
+	if len(saved.Endpoints) == 0 || outdated {
+		return known
+	}
+	return saved
+}
+
+// savedEndpoints returns the endpoint list that a process of this dispatcher saved last; it has no endpoints if there is none.
+func (s *Server) savedEndpoints() engine.EndpointList {
 	raw, err := s.process.Endpoints()
 	if err != nil {
 		s.log.WithError(err).Warn("saved endpoint list ignored")
-		return known
+		return engine.EndpointList{}
 	}
 	if raw == nil {
-		return known
+		return engine.EndpointList{}
 	}
 	saved, _, err := discovery.DecodeList(raw)
 	if err != nil {
 		s.log.WithError(err).Warn("saved endpoint list ignored")
-		return known
-	}
-	outdated := s.siblings.Load() == 0 && saved.Version <= known.Version
-	if len(saved.Endpoints) == 0 || outdated {
-		return known
+		return engine.EndpointList{}
 	}
 	saved.Snapshot = true
 	saved.Stale = true
@@ -165,12 +171,16 @@
 	return converted
 }
 
-// saveEndpoints saves the newest endpoint list for a process that starts. Only the sync loop calls it.
+// saveEndpoints saves the newest endpoint list for a process that starts. Beside a sibling, the list with which this process started is not
+// saved: it may be older than the sibling's. Only the sync loop calls it.
 func (s *Server) saveEndpoints() {
 	if s.engine.EndpointsRevision() == s.savedRevision {
 		return
 	}
 	list, revision := s.engine.Endpoints()
+	if list.Stale && s.siblings.Load() > 0 {
+		return
+	}
 	raw, err := discovery.EncodeList(list)
 	if err == nil {
 		err = s.process.SaveEndpoints(raw)
--- a/internal/server/start.go
+++ b/internal/server/start.go
@@ -141,12 +141,17 @@
 func (s *Server) heartbeatLoop(ctx context.Context) {
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
+	warned := false
 	for i := 1; ; i++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 			s.engine.Heartbeat()
+			if !warned && s.handler.ServesByInitialList() {
+				warned = true
+				s.log.Warn("discovery has been silent since the start: using the endpoint list of the start")
+			}
 			if i%heartbeatsPerSweep == 0 {
 				s.pool.CloseExpired()
 			}
